Lay down the shape with one path from end to end.

Cause: the repository was empty; everything later stands on its folders, core types and one whole path. Measured: go test ./coltssystem passes over TCP: a streamed answer comes whole, a second turn goes back to the runner that holds its pieces, a booking sent to two entries runs once.

--- /dev/null
+++ b/coltsattempt/quarantine.go
@@ -0,0 +1,135 @@
+package coltsattempt
+
+// A request that crashes each upstream that runs it is recognised by the
+// fingerprint of its organisation and content. It is suspected after its first
+// crash and quarantined after the second one on another upstream. A request
+// that merely ran beside the culprit is cleared when it later ends well.
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"coltsfootstall/coltsidentity"
+	"coltsfootstall/coltsshard"
+)
+
+const (
+	// crashesToQuarantine is the number of distinct upstreams that a request
+	// may take with it before it is refused.
+	crashesToQuarantine = 2
+	// quarantineRetention is how long a crash counts.
+	quarantineRetention = time.Hour
+	// quarantinePerShard bounds the suspects that a shard remembers.
+	quarantinePerShard = 4096
+)
+
+// Suspect is a request that was running on an upstream when it crashed.
+type Suspect struct {
+	Fingerprint coltsidentity.Digest
+	// Upstreams are those that crashed, each once.
+	Upstreams []coltsidentity.Upstream
+	// ForgetAt is when the crashes stop counting.
+	ForgetAt time.Time
+}
+
+// Quarantine counts crashes by fingerprint.
+type Quarantine struct {
+	shards [coltsshard.Count]quarantineShard
+}
+
+type quarantineShard struct {
+	mu       sync.Mutex
+	suspects map[coltsidentity.Digest]Suspect
+}
+
+// NewQuarantine returns an empty quarantine.
+func NewQuarantine() *Quarantine {
+	q := &Quarantine{}
+	for i := range q.shards {
+		q.shards[i].suspects = map[coltsidentity.Digest]Suspect{}
+	}
+	return q
+}
+
+func (q *Quarantine) shard(f coltsidentity.Digest) *quarantineShard {
+	return &q.shards[int(f[0])%coltsshard.Count]
+}
+
+// Crashed counts the crash of an upstream that was running a request.
+func (q *Quarantine) Crashed(f coltsidentity.Digest, upstream coltsidentity.Upstream, now time.Time) {
+	s := q.shard(f)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgetLocked(now)
+	suspect := s.suspects[f]
+	suspect.Fingerprint = f
+	suspect.ForgetAt = now.Add(quarantineRetention)
+	if !slices.Contains(suspect.Upstreams, upstream) {
+		suspect.Upstreams = append(slices.Clone(suspect.Upstreams), upstream)
+	}
+	s.suspects[f] = suspect
+}
+
+// Cleared forgets a suspect that ended well.
+func (q *Quarantine) Cleared(f coltsidentity.Digest) {
+	s := q.shard(f)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.suspects, f)
+}
+
+// Blocked returns until when a request is refused; zero if it may run.
+func (q *Quarantine) Blocked(f coltsidentity.Digest, now time.Time) time.Time {
+	s := q.shard(f)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	suspect, known := s.suspects[f]
+	if !known || !now.Before(suspect.ForgetAt) || len(suspect.Upstreams) < crashesToQuarantine {
+		return time.Time{}
+	}
+	return suspect.ForgetAt
+}
+
+// Suspects lists what is remembered, in the order of the fingerprints.
+func (q *Quarantine) Suspects(now time.Time) []Suspect {
+	var all []Suspect
+	for i := range q.shards {
+		all = append(all, q.shards[i].list(now)...)
+	}
+	slices.SortFunc(all, func(a, b Suspect) int {
+		return strings.Compare(a.Fingerprint.String(), b.Fingerprint.String())
+	})
+	return all
+}
+
+func (s *quarantineShard) list(now time.Time) []Suspect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgetLocked(now)
+	suspects := make([]Suspect, 0, len(s.suspects))
+	for _, suspect := range s.suspects {
+		suspects = append(suspects, suspect)
+	}
+	return suspects
+}
+
+// forgetLocked drops what no longer counts and, in a full shard, what would be
+// forgotten first.
+func (s *quarantineShard) forgetLocked(now time.Time) {
+	var oldest coltsidentity.Digest
+	var oldestAt time.Time
+	for f, suspect := range s.suspects {
+		if !now.Before(suspect.ForgetAt) {
+			delete(s.suspects, f)
+			continue
+		}
+		if oldestAt.IsZero() || suspect.ForgetAt.Before(oldestAt) {
+			oldest, oldestAt = f, suspect.ForgetAt
+		}
+	}
+	if len(s.suspects) >= quarantinePerShard {
+		delete(s.suspects, oldest)
+	}
+}
--- /dev/null
+++ b/coltscontrol/control_server.go
@@ -0,0 +1,206 @@
+package coltscontrol
+
+// The connect service of a control instance: each call is translated, handed to
+// an aggregate or the log, and translated back.
+
+import (
+	"context"
+	"crypto/sha256"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"coltsfootstall/coltsdocument"
+	"coltsfootstall/coltsidentity"
+	"coltsfootstall/coltsstate"
+	"coltsfootstall/coltswire"
+	"coltsfootstall/coltswire/coltspb"
+	"coltsfootstall/coltswire/coltspb/coltspbconnect"
+)
+
+const (
+	// submitTimeout bounds the wait of a command for the disk.
+	submitTimeout = 10 * time.Second
+	// recheckPeriod is how often a wait looks for instances that fell silent,
+	// which no message announces.
+	recheckPeriod = 250 * time.Millisecond
+	// maxHistory bounds a listing of changes.
+	maxHistory = 1000
+)
+
+// controlServer serves coltspbconnect.ControlHandler.
+type controlServer struct {
+	coltspbconnect.UnimplementedControlHandler
+	c *Control
+}
+
+// Submit carries out a command once it is durable.
+func (s *controlServer) Submit(ctx context.Context, r *coltspb.SubmitRequest) (*coltspb.SubmitReply, error) {
+	command, err := coltswire.DecodeCommand(r.GetCommand())
+	var invalid *coltsdocument.InvalidError
+	if errors.As(err, &invalid) {
+		return &coltspb.SubmitReply{Refusal: coltswire.EncodeRefusal(err)}, nil
+	}
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	if err := s.authorise(&command, r.GetOperatorKey()); err != nil {
+		return &coltspb.SubmitReply{Refusal: coltswire.EncodeRefusal(err)}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	result, err := s.c.journal.submit(ctx, command)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return encodeResult(command.Kind, result), nil
+}
+
+// authorise sets the operator of an operator's command from the key.
+func (s *controlServer) authorise(command *coltsstate.Command, key string) error {
+	switch command.Kind {
+	case coltsstate.CommandPropose:
+		// Only an instance's own start may skip the review.
+		command.Propose.Bootstrap = false
+		return s.nameOperator(&command.Propose.Author, command.Propose.ID, key)
+	case coltsstate.CommandReview:
+		return s.nameOperator(&command.Review.Operator, command.Review.Change, key)
+	case coltsstate.CommandAccept:
+		return s.nameOperator(&command.Accept.Operator, command.Accept.Change, key)
+	}
+	return nil
+}
+
+func (s *controlServer) nameOperator(to *coltsidentity.Operator, change coltsidentity.Change, key string) error {
+	operator, known := s.c.machine.Register.Current().FindOperator(sha256.Sum256([]byte(key)))
+	if !known {
+		return &coltsdocument.DeniedError{Change: change, Operator: "unknown operator", Reason: "has no valid key"}
+	}
+	*to = operator.ID
+	return nil
+}
+
+func encodeResult(kind coltsstate.CommandKind, r coltsstate.Result) *coltspb.SubmitReply {
+	reply := &coltspb.SubmitReply{Refusal: coltswire.EncodeRefusal(r.Err)}
+	if r.Err != nil {
+		return reply
+	}
+	switch kind {
+	case coltsstate.CommandPropose, coltsstate.CommandReview, coltsstate.CommandAccept:
+		reply.Change = coltswire.EncodeChangeRecord(r.Change)
+	case coltsstate.CommandGrant:
+		reply.Granted = r.Decision.Granted
+		reply.Booking = coltswire.EncodeBooking(r.Decision.Record)
+	case coltsstate.CommandSettle, coltsstate.CommandWithdraw:
+		reply.Booking = coltswire.EncodeBooking(r.Booking)
+	}
+	return reply
+}
+
+// Plan shows what a change would do.
+func (s *controlServer) Plan(_ context.Context, r *coltspb.PlanRequest) (*coltspb.PlanReply, error) {
+	change, err := coltswire.DecodeChange(r.GetChange())
+	if err != nil {
+		return &coltspb.PlanReply{Refusal: coltswire.EncodeRefusal(err)}, nil
+	}
+	if err := s.nameOperator(&change.Author, change.ID, r.GetOperatorKey()); err != nil {
+		return &coltspb.PlanReply{Refusal: coltswire.EncodeRefusal(err)}, nil
+	}
+	plan, err := s.c.machine.Register.Check(change)
+	return &coltspb.PlanReply{Plan: plan, Refusal: coltswire.EncodeRefusal(err)}, nil
+}
+
+// Follow answers as soon as a newer document is in force, or at the deadline.
+func (s *controlServer) Follow(ctx context.Context, r *coltspb.FollowRequest) (*coltspb.FollowReply, error) {
+	timer := time.NewTimer(coltswire.DecodeTime(r.GetAnswerBy()).Sub(s.c.cfg.Now()))
+	defer timer.Stop()
+	for {
+		revised := s.c.revised.wait()
+		document := s.c.machine.Register.Current()
+		if document.Revision > coltsdocument.Revision(r.GetAfter()) || s.c.stopping() {
+			return s.follow(document), nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
+		case <-timer.C:
+			return s.follow(document), nil
+		case <-revised:
+		}
+	}
+}
+
+func (s *controlServer) follow(d coltsdocument.Document) *coltspb.FollowReply {
+	return &coltspb.FollowReply{Document: coltswire.EncodeDocument(d, s.c.machine.Register.AcceptedAt)}
+}
+
+// History lists the newest changes.
+func (s *controlServer) History(_ context.Context, r *coltspb.HistoryRequest) (*coltspb.HistoryReply, error) {
+	limit := int(r.GetLimit())
+	if limit <= 0 || limit > maxHistory {
+		limit = maxHistory
+	}
+	reply := &coltspb.HistoryReply{}
+	for _, record := range s.c.machine.Register.History(limit) {
+		reply.Changes = append(reply.Changes, coltswire.EncodeChangeRecord(record))
+	}
+	return reply, nil
+}
+
+// Heartbeat renews an instance's entry in the roster.
+func (s *controlServer) Heartbeat(_ context.Context, r *coltspb.HeartbeatRequest) (*coltspb.HeartbeatReply, error) {
+	member := coltswire.DecodeMember(r.GetMember())
+	now := s.c.cfg.Now()
+	if r.GetLeaving() {
+		s.c.roster.Leave(member.ID, member.Started)
+	} else {
+		s.c.roster.Heartbeat(member, now)
+	}
+	s.c.reported.fire()
+	return &coltspb.HeartbeatReply{
+		Peers:    coltswire.EncodeMembers(s.c.roster.Live(now)),
+		Revision: uint64(s.c.Revision()),
+	}, nil
+}
+
+// Status lists the live instances.
+func (s *controlServer) Status(context.Context, *coltspb.StatusRequest) (*coltspb.StatusReply, error) {
+	return &coltspb.StatusReply{
+		Members:  coltswire.EncodeMembers(s.c.roster.Live(s.c.cfg.Now())),
+		Revision: uint64(s.c.Revision()),
+		Bookings: int64(s.c.machine.Ledger.Len()),
+	}, nil
+}
+
+// Wait answers when every live instance has a revision, or at the deadline.
+func (s *controlServer) Wait(ctx context.Context, r *coltspb.WaitRequest) (*coltspb.WaitReply, error) {
+	revision := coltsdocument.Revision(r.GetRevision())
+	answerBy := coltswire.DecodeTime(r.GetAnswerBy())
+	recheck := time.NewTicker(recheckPeriod)
+	defer recheck.Stop()
+	for {
+		reported := s.c.reported.wait()
+		now := s.c.cfg.Now()
+		behind := s.c.roster.Behind(revision, now)
+		inForce := s.c.Revision() >= revision
+		if len(behind) == 0 && inForce || !now.Before(answerBy) || s.c.stopping() {
+			return &coltspb.WaitReply{Behind: coltswire.EncodeMembers(behind), InForce: inForce}, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
+		case <-reported:
+		case <-recheck.C:
+		}
+	}
+}
+
+// Spend lists what organisations used.
+func (s *controlServer) Spend(context.Context, *coltspb.SpendRequest) (*coltspb.SpendReply, error) {
+	reply := &coltspb.SpendReply{}
+	for _, line := range s.c.machine.Account.Spend() {
+		reply.Lines = append(reply.Lines, coltswire.EncodeUsageLine(line))
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/coltsdocument/section_objectives.go
@@ -0,0 +1,52 @@
+package coltsdocument
+
+// Objectives stand in the document rather than in an instance's settings,
+// because what is promised to organisations is reviewed like a price.
+
+import (
+	"fmt"
+	"time"
+)
+
+// perMilleWhole is the whole, in thousandths.
+const perMilleWhole = 1000
+
+var sectionObjectives = Section{
+	Name: SectionObjectives,
+	Usage: `Objectives that the burn report watches.
+  "objectives": [{"name": "first-token", "model": "", "first-token": "460ms", "per-mille": 950}]`,
+	check:  checkObjectives,
+	copyTo: func(to *Sections, from Sections) { to.Objectives = from.Objectives },
+	lines:  describeObjectives,
+}
+
+func checkObjectives(s Sections, l *problemList) {
+	names := make([]string, 0, len(s.Objectives))
+	for _, o := range s.Objectives {
+		names = append(names, o.Name)
+		if o.FirstToken <= 0 {
+			l.add(o.Name+"/first-token", "is %v, expected more than 0s", o.FirstToken)
+		}
+		if o.PerMille < 1 || o.PerMille >= perMilleWhole {
+			l.add(o.Name+"/per-mille", "is %d, expected 1 to 999", o.PerMille)
+		}
+		if o.Model != "" && !hasVersion(s, o.Model, "") {
+			l.add(o.Name+"/model", "there is no model %q", o.Model)
+		}
+	}
+	addDuplicates(l, names)
+}
+
+func describeObjectives(s Sections) []entryLine {
+	lines := make([]entryLine, 0, len(s.Objectives))
+	for _, o := range s.Objectives {
+		model := "every model"
+		if o.Model != "" {
+			model = "model " + string(o.Model)
+		}
+		text := fmt.Sprintf("objective %s: first token of %s within %v for %d in 1000",
+			o.Name, model, o.FirstToken.Round(time.Millisecond), o.PerMille)
+		lines = append(lines, entryLine{key: o.Name, text: text})
+	}
+	return lines
+}
--- /dev/null
+++ b/coltsentry/caller_server.go
@@ -0,0 +1,123 @@
+package coltsentry
+
+// Callers' paths are in one table. What comes before any of them - who calls,
+// and whether this instance can serve at all - is done here once.
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"coltsfootstall/coltsattempt"
+	"coltsfootstall/coltscodec"
+	"coltsfootstall/coltsdocument"
+	"coltsfootstall/coltsidentity"
+	"coltsfootstall/coltsmetric"
+)
+
+// servicePath is where plain services are called: /services/NAME/...
+const servicePath = "/services/"
+
+// callerHandler serves one path for an organisation that was recognised.
+type callerHandler func(e *Entry, ctx *fasthttp.RequestCtx, org coltsdocument.Organisation)
+
+// callerPaths are the paths that are served whole; servicePath is a prefix.
+var callerPaths = map[string]callerHandler{
+	"/v1/chat/completions": serveChat,
+	"/v1/completions":      serveCompletion,
+	"/v1/models":           serveModels,
+}
+
+// serveCaller serves every path of the callers' listener.
+func (e *Entry) serveCaller(ctx *fasthttp.RequestCtx) {
+	e.metrics.Add(coltsmetric.Requests, 1)
+	e.metrics.Add(coltsmetric.RequestsUnderWay, 1)
+	defer e.metrics.Add(coltsmetric.RequestsUnderWay, -1)
+	if e.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+	handler, refusal := e.callerHandler(ctx)
+	if refusal != nil {
+		e.refuse(ctx, refusal)
+		return
+	}
+	org, refusal := e.authenticate(ctx)
+	if refusal != nil {
+		e.refuse(ctx, refusal)
+		return
+	}
+	handler(e, ctx, org)
+}
+
+func (e *Entry) callerHandler(ctx *fasthttp.RequestCtx) (callerHandler, *coltsattempt.RefusedError) {
+	path := string(ctx.Path())
+	if handler, known := callerPaths[path]; known {
+		return handler, nil
+	}
+	if strings.HasPrefix(path, servicePath) {
+		return serveService, nil
+	}
+	return nil, coltsattempt.NotRun(coltsattempt.ReasonUnknownPath, "there is no path %s", path)
+}
+
+// authenticate returns the organisation whose key the request carries.
+func (e *Entry) authenticate(ctx *fasthttp.RequestCtx) (coltsdocument.Organisation, *coltsattempt.RefusedError) {
+	index := e.index.Load()
+	if index.Document.Revision == 0 {
+		return coltsdocument.Organisation{}, coltsattempt.NotRun(coltsattempt.ReasonNotReady,
+			"this instance has not heard of the document in force yet").At(e.cfg.Now())
+	}
+	key, found := bytes.CutPrefix(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization), []byte("Bearer "))
+	if !found {
+		return coltsdocument.Organisation{}, coltsattempt.NotRun(coltsattempt.ReasonUnknownKey,
+			"the request has no bearer key")
+	}
+	org, known := index.Organisation(sha256.Sum256(bytes.TrimSpace(key)))
+	if !known {
+		return coltsdocument.Organisation{}, coltsattempt.NotRun(coltsattempt.ReasonUnknownKey,
+			"the bearer key is not known")
+	}
+	return org, nil
+}
+
+// refuse writes a refusal as the whole response.
+func (e *Entry) refuse(ctx *fasthttp.RequestCtx, r *coltsattempt.RefusedError) {
+	e.metrics.Add(coltsmetric.Refused, 1)
+	ctx.SetStatusCode(coltscodec.RefusalStatus(r))
+	ctx.SetContentType("application/json")
+	ctx.Response.Header.Set(coltscodec.HeaderOutcome, string(r.Outcome))
+	if !r.RetryAt.IsZero() {
+		wait := max(0, r.RetryAt.Sub(e.cfg.Now()))
+		// Whole seconds, rounded up, as the header wants them.
+		seconds := int64(wait.Seconds()) + 1
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(seconds, 10))
+	}
+	ctx.SetBody(coltscodec.EncodeRefusal(r))
+}
+
+// newRequest names a request and tells the caller its name.
+func newRequest(ctx *fasthttp.RequestCtx) coltsidentity.Request {
+	id := coltsidentity.NewRequest()
+	ctx.Response.Header.Set("X-Request-Id", id.String())
+	return id
+}
+
+// serveModels lists the models that the organisation may use.
+func serveModels(e *Entry, ctx *fasthttp.RequestCtx, org coltsdocument.Organisation) {
+	names := make([]string, 0, len(org.Models))
+	for _, m := range e.document().Sections.Models {
+		for _, v := range m.Versions {
+			if org.MayUse(m.ID, v) && v == m.Current {
+				names = append(names, string(m.ID))
+			}
+			if org.MayUse(m.ID, v) {
+				names = append(names, string(m.ID)+"@"+string(v))
+			}
+		}
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(coltscodec.EncodeModels(names))
+}
--- /dev/null
+++ b/coltsentry/operator_server.go
@@ -0,0 +1,34 @@
+package coltsentry
+
+// Operators and the platform's probes have an address of their own. Health says
+// that the process works; readiness says that callers should be sent here.
+
+import (
+	"github.com/valyala/fasthttp"
+)
+
+// serveOperator serves every path of the operators' listener.
+func (e *Entry) serveOperator(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/health":
+		ctx.SetBodyString("ok\n")
+	case "/ready":
+		e.serveReady(ctx)
+	case "/debug/vars":
+		ctx.SetContentType("application/json")
+		ctx.SetBodyString(e.metrics.JSON())
+	default:
+		ctx.Error("there is no such path", fasthttp.StatusNotFound)
+	}
+}
+
+func (e *Entry) serveReady(ctx *fasthttp.RequestCtx) {
+	switch {
+	case e.draining.Load():
+		ctx.Error("draining", fasthttp.StatusServiceUnavailable)
+	case !e.ready():
+		ctx.Error("no document is in force yet", fasthttp.StatusServiceUnavailable)
+	default:
+		ctx.SetBodyString("ready\n")
+	}
+}
--- /dev/null
+++ b/coltsmetric/metric_table.go
@@ -0,0 +1,111 @@
+// Package coltsmetric lists the metrics of an instance and counts them.
+package coltsmetric
+
+// Metrics are entered in one table with their units, so that the command line
+// can list them and a name that is counted but not listed can't exist.
+
+import (
+	"expvar"
+	"strings"
+)
+
+// Metric is one line of the table.
+type Metric struct {
+	Name  string
+	Unit  string
+	Usage string
+}
+
+// The metrics.
+var (
+	Requests         = Metric{"requests", "requests", "prompts and calls that came in"}
+	Refused          = Metric{"requests-refused", "requests", "requests refused, by any reason"}
+	RequestsUnderWay = Metric{"requests-under-way", "requests", "requests that are being served now"}
+	CallerLeft       = Metric{"callers-left", "requests", "callers that hung up before their answer ended"}
+	Attempts         = Metric{"attempts", "attempts", "attempts sent to upstreams"}
+	Retries          = Metric{"retries", "attempts", "attempts after the first one"}
+	Resumes          = Metric{"resumes", "attempts", "streams resumed on another upstream"}
+	Crossed          = Metric{"answers-crossed", "answers", "answers dropped because they carried another request's identity"}
+	Silent           = Metric{"connections-silent", "connections", "connections found silent and replaced"}
+	Tokens           = Metric{"tokens", "tokens", "streamed parts passed on to callers"}
+	TokensComputed   = Metric{"tokens-computed", "tokens", "prompt tokens that upstreams computed"}
+	TokensReused     = Metric{"tokens-reused", "tokens", "prompt tokens that upstreams took from kept cache"}
+	FirstTokenMicros = Metric{"first-token-micros", "microseconds", "sum of the times to first token"}
+	FirstTokens      = Metric{"first-tokens", "requests", "requests that got a first token"}
+	Lookups          = Metric{"lookups", "questions", "questions to kept-cache stores"}
+	Exports          = Metric{"exports", "orders", "orders to copy pieces to a store"}
+	ExportsFailed    = Metric{"exports-failed", "orders", "of those, orders that failed"}
+	Announcements    = Metric{"announcements", "announcements", "announcements taken in that were news"}
+	Untrusted        = Metric{"announcements-untrusted", "announcements", "announcements that no rule trusts"}
+	CacheEvents      = Metric{"cache-events", "events", "cache events taken in"}
+	Grants           = Metric{"grants", "calls", "calls granted by the ledger"}
+	Replays          = Metric{"replays", "calls", "calls answered from the ledger"}
+	SettleRetries    = Metric{"settle-retries", "calls", "settlements that had to be sent again"}
+	Revision         = Metric{"document-revision", "revision", "revision of the document in force"}
+	DocumentAgeMilli = Metric{"document-heard-unix-milli", "milliseconds", "when control last confirmed the document, since the Unix epoch"}
+	UsageBatches     = Metric{"usage-batches", "batches", "batches of use that control has taken in"}
+	Commands         = Metric{"commands", "commands", "commands applied"}
+	Syncs            = Metric{"journal-syncs", "syncs", "syncs of the journal"}
+	Snapshots        = Metric{"snapshots", "snapshots", "snapshots written"}
+)
+
+// table lists every metric in the order in which they are shown.
+var table = []Metric{
+	Requests, Refused, RequestsUnderWay, CallerLeft, Attempts, Retries, Resumes, Crossed, Silent,
+	Tokens, TokensComputed, TokensReused, FirstTokenMicros, FirstTokens, Lookups, Exports, ExportsFailed,
+	Announcements, Untrusted, CacheEvents, Grants, Replays, SettleRetries, Revision, DocumentAgeMilli,
+	UsageBatches, Commands, Syncs, Snapshots,
+}
+
+// Table returns every metric.
+func Table() []Metric {
+	return append([]Metric(nil), table...)
+}
+
+// Set holds the values of one instance.
+type Set struct {
+	values map[string]*expvar.Int
+}
+
+// NewSet returns a set in which every metric is zero.
+func NewSet() *Set {
+	s := &Set{values: make(map[string]*expvar.Int, len(table))}
+	for _, m := range table {
+		s.values[m.Name] = new(expvar.Int)
+	}
+	return s
+}
+
+// Add adds to a metric.
+func (s *Set) Add(m Metric, n int64) {
+	s.values[m.Name].Add(n)
+}
+
+// Put sets a metric.
+func (s *Set) Put(m Metric, n int64) {
+	s.values[m.Name].Set(n)
+}
+
+// Get returns a metric's value.
+func (s *Set) Get(m Metric) int64 {
+	return s.values[m.Name].Value()
+}
+
+// JSON returns the set, and what the process publishes to expvar, as one object.
+func (s *Set) JSON() string {
+	var b strings.Builder
+	b.WriteString("{\n")
+	for _, m := range table {
+		b.WriteString(`"` + m.Name + `": ` + s.values[m.Name].String() + ",\n")
+	}
+	first := true
+	expvar.Do(func(kv expvar.KeyValue) {
+		if !first {
+			b.WriteString(",\n")
+		}
+		first = false
+		b.WriteString(`"` + kv.Key + `": ` + kv.Value.String())
+	})
+	b.WriteString("\n}\n")
+	return b.String()
+}
--- /dev/null
+++ b/coltssettings/settings.go
@@ -0,0 +1,85 @@
+// Package coltssettings reads an instance's settings, checks them, and lists
+// them with their types, units and defaults.
+package coltssettings
+
+// The structs here are the one table of settings: the reader, the check, the
+// list on the command line and docs/SETTINGS.md are all made from their tags.
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Settings are those of one instance.
+type Settings struct {
+	Instance   string  `json:"instance" unit:"name" usage:"name of this instance, unique in the system"`
+	DataCentre string  `json:"data-centre" unit:"name" usage:"data centre in which this instance runs"`
+	LogLevel   string  `json:"log-level" unit:"level" usage:"least level that is logged: debug, info, warning or error"`
+	LogJSON    bool    `json:"log-json" unit:"" usage:"log JSON objects rather than text"`
+	Entry      Entry   `json:"entry" usage:"settings of an entry instance"`
+	Control    Control `json:"control" usage:"settings of a control instance"`
+}
+
+// Entry are the settings of an entry instance.
+type Entry struct {
+	CallerAddr   netip.AddrPort   `json:"caller-address" unit:"address" usage:"where callers are served"`
+	UpstreamAddr netip.AddrPort   `json:"upstream-address" unit:"address" usage:"where upstreams announce themselves"`
+	PeerAddr     netip.AddrPort   `json:"peer-address" unit:"address" usage:"where other instances reach this one"`
+	OperatorAddr netip.AddrPort   `json:"operator-address" unit:"address" usage:"where operators find health, readiness and metrics"`
+	Controls     []netip.AddrPort `json:"control-addresses" unit:"addresses" usage:"control instances, in the order of preference"`
+
+	RoutingPolicy string `json:"routing-policy" unit:"policy" usage:"how an upstream is chosen: expected-first-token, least-outstanding or round-robin"`
+	KeepCache     bool   `json:"keep-cache" unit:"" usage:"export prompts' cache to stores and restore it; false recomputes always"`
+
+	MaxUnderWay    int           `json:"max-under-way" unit:"requests" min:"1" usage:"requests served at once; more are refused as not run"`
+	MaxAttempts    int           `json:"max-attempts" unit:"attempts" min:"1" usage:"attempts at one request, the first one counted"`
+	MaxBodyBytes   int           `json:"max-body-bytes" unit:"bytes" min:"1024" usage:"longest body that callers may send"`
+	RequestTimeout time.Duration `json:"request-timeout" unit:"duration" min:"1ms" usage:"time after which a request is given up"`
+	SilenceTimeout time.Duration `json:"silence-timeout" unit:"duration" min:"10ms" usage:"time without a byte after which an upstream's connection counts as silent"`
+	ProbeTimeout   time.Duration `json:"probe-timeout" unit:"duration" min:"1ms" usage:"time in which an idle connection must answer a probe before it is used again"`
+	DrainNotice    time.Duration `json:"drain-notice" unit:"duration" min:"0s" usage:"time between failing readiness and refusing new connections at a shutdown"`
+	DrainTimeout   time.Duration `json:"drain-timeout" unit:"duration" min:"0s" usage:"time that running requests get to end at a shutdown"`
+}
+
+// Control are the settings of a control instance.
+type Control struct {
+	Addr            netip.AddrPort `json:"address" unit:"address" usage:"where entries, operators and other control instances reach this one"`
+	OperatorAddr    netip.AddrPort `json:"operator-address" unit:"address" usage:"where operators find health, readiness and metrics"`
+	DataFolder      string         `json:"data-folder" unit:"path" usage:"folder that holds the durable state"`
+	InitialDocument string         `json:"initial-document" unit:"path" usage:"document to begin with when the state is empty; empty for none"`
+	SegmentBytes    int            `json:"segment-bytes" unit:"bytes" min:"4096" usage:"size at which a new segment of the journal is begun"`
+	SnapshotEvery   int            `json:"snapshot-every" unit:"commands" min:"1" usage:"commands after which the state is written as a snapshot"`
+}
+
+// Default returns the settings that an empty file gives.
+func Default() Settings {
+	return Settings{
+		Instance:   "instance-1",
+		DataCentre: "data-centre-1",
+		LogLevel:   "info",
+		Entry: Entry{
+			CallerAddr:     netip.MustParseAddrPort("127.0.0.1:8080"),
+			UpstreamAddr:   netip.MustParseAddrPort("127.0.0.1:8081"),
+			PeerAddr:       netip.MustParseAddrPort("127.0.0.1:8082"),
+			OperatorAddr:   netip.MustParseAddrPort("127.0.0.1:8083"),
+			Controls:       []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:8090")},
+			RoutingPolicy:  "expected-first-token",
+			KeepCache:      true,
+			MaxUnderWay:    4096,
+			MaxAttempts:    3,
+			MaxBodyBytes:   16 << 20,
+			RequestTimeout: 5 * time.Minute,
+			SilenceTimeout: 3 * time.Second,
+			ProbeTimeout:   250 * time.Millisecond,
+			DrainNotice:    time.Second,
+			DrainTimeout:   10 * time.Minute,
+		},
+		Control: Control{
+			Addr:          netip.MustParseAddrPort("127.0.0.1:8090"),
+			OperatorAddr:  netip.MustParseAddrPort("127.0.0.1:8091"),
+			DataFolder:    "data",
+			SegmentBytes:  64 << 20,
+			SnapshotEvery: 10_000,
+		},
+	}
+}
--- /dev/null
+++ b/coltsstandin/service.go
@@ -0,0 +1,94 @@
+package coltsstandin
+
+// A plain service counts how often it ran each key, which is how a test sees
+// whether a call ran twice.
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"coltsfootstall/coltscodec"
+	"coltsfootstall/coltsdocument"
+	"coltsfootstall/coltsfleet"
+	"coltsfootstall/coltsidentity"
+)
+
+// ServiceConfig says what a service is like.
+type ServiceConfig struct {
+	Config
+	Service coltsidentity.Service
+	// Duration is how long a call takes.
+	Duration time.Duration
+}
+
+// Service is a stand-in for a plain service.
+type Service struct {
+	base
+	faultSwitches
+	service ServiceConfig
+	runs    runCounter
+}
+
+// runCounter counts the runs of each key.
+type runCounter struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func (c *runCounter) add(key string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.runs[key]++
+	return c.runs[key]
+}
+
+func (c *runCounter) copy() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	runs := make(map[string]int, len(c.runs))
+	for k, n := range c.runs {
+		runs[k] = n
+	}
+	return runs
+}
+
+// StartService starts a service.
+func StartService(cfg ServiceConfig) (*Service, error) {
+	s := &Service{service: cfg, runs: runCounter{runs: map[string]int{}}}
+	err := s.start(cfg.Config, s.serve, func() coltsfleet.Announcement {
+		a := announcementOf(coltsdocument.KindService)
+		a.Service = cfg.Service
+		return a
+	})
+	if err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Runs returns how often each key was run.
+func (s *Service) Runs() map[string]int {
+	return s.runs.copy()
+}
+
+func (s *Service) serve(ctx *fasthttp.RequestCtx) {
+	faults := s.Faults()
+	if faults.Refuse {
+		ctx.Response.Header.Set(coltscodec.HeaderOutcome, "not-run")
+		ctx.Error("busy", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	time.Sleep(faults.slowed(s.service.Duration))
+	key := string(ctx.Request.Header.Peek("Idempotency-Key"))
+	runs := s.runs.add(key)
+	if faults.DropAnswer {
+		// Nothing is left to be done about a connection that is broken on purpose.
+		_ = ctx.Conn().Close()
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBodyString(fmt.Sprintf(`{"service":"%s","path":"%s","runs":%d}`+"\n", s.service.Service, ctx.Path(), runs))
+}
--- /dev/null
+++ b/coltsstate/state_machine.go
@@ -0,0 +1,107 @@
+package coltsstate
+
+// The machine has no lock of its own: commands are applied one after another by
+// the log's one applier, and each aggregate locks its shards for readers.
+
+import (
+	"time"
+
+	"coltsfootstall/coltsbooking"
+	"coltsfootstall/coltsdocument"
+	"coltsfootstall/coltsusage"
+)
+
+// Machine is the state.
+type Machine struct {
+	Register *coltsdocument.Register
+	Ledger   *coltsbooking.Ledger
+	Account  *coltsusage.Account
+	// appliedAt is the time of the newest command; time never goes back in the
+	// state, whichever leader's clock it comes from.
+	appliedAt time.Time
+}
+
+// NewMachine returns an empty state.
+func NewMachine() *Machine {
+	return &Machine{
+		Register: coltsdocument.NewRegister(),
+		Ledger:   coltsbooking.NewLedger(),
+		Account:  coltsusage.NewAccount(),
+	}
+}
+
+// Apply carries out a command.
+func (m *Machine) Apply(c Command) Result {
+	now := c.At
+	if now.Before(m.appliedAt) {
+		now = m.appliedAt
+	}
+	m.appliedAt = now
+	switch c.Kind {
+	case CommandPropose:
+		rec, err := m.Register.Propose(c.Propose, now)
+		return Result{Change: rec, Err: err}
+	case CommandReview:
+		rec, err := m.Register.Review(c.Review.Change, c.Review.Operator)
+		return Result{Change: rec, Err: err}
+	case CommandAccept:
+		rec, err := m.Register.Accept(c.Accept.Change, c.Accept.Operator, now)
+		return Result{Change: rec, Err: err}
+	case CommandGrant:
+		d, err := m.Ledger.Grant(c.Grant, now)
+		return Result{Decision: d, Err: err}
+	case CommandSettle:
+		return m.settle(c.Settle, now)
+	case CommandWithdraw:
+		return Result{Booking: m.Ledger.Withdraw(c.Withdraw, now)}
+	case CommandUsage:
+		m.Account.Report(c.Usage)
+		return Result{}
+	}
+	return Result{}
+}
+
+// settle records how a call ended and charges it in the same step, so that no
+// failure can come between the two.
+func (m *Machine) settle(s coltsbooking.Settlement, now time.Time) Result {
+	rec, charged, err := m.Ledger.Settle(s, now)
+	if err != nil {
+		return Result{Err: err}
+	}
+	if charged {
+		m.Account.Add(coltsusage.Line{
+			Organisation: rec.Key.Organisation,
+			Item:         string(rec.Service),
+			Amounts:      coltsusage.Amounts{Requests: 1, Micros: rec.ChargeMicros},
+		})
+	}
+	return Result{Booking: rec}
+}
+
+// Snapshot is the whole state.
+type Snapshot struct {
+	AppliedAt time.Time
+	Document  coltsdocument.Document
+	Changes   []coltsdocument.Record
+	LastGrant coltsbooking.Grant
+	Bookings  []coltsbooking.Record
+	Lines     []coltsusage.Line
+	Sources   []coltsusage.Source
+}
+
+// Export returns the whole state. It must not run beside Apply.
+func (m *Machine) Export() Snapshot {
+	s := Snapshot{AppliedAt: m.appliedAt}
+	s.Document, s.Changes = m.Register.Export()
+	s.LastGrant, s.Bookings = m.Ledger.Export()
+	s.Lines, s.Sources = m.Account.Export()
+	return s
+}
+
+// Import replaces the whole state. It must not run beside Apply.
+func (m *Machine) Import(s Snapshot) {
+	m.appliedAt = s.AppliedAt
+	m.Register.Import(s.Document, s.Changes)
+	m.Ledger.Import(s.LastGrant, s.Bookings)
+	m.Account.Import(s.Lines, s.Sources)
+}
--- /dev/null
+++ b/coltssystem/system.go
@@ -0,0 +1,273 @@
+// Package coltssystem brings up a small whole system in one process on loopback:
+// control, entries and stand-ins. The trial day and the tests use it.
+package coltssystem
+
+// Everything listens on ports that the kernel picks, so that nothing has to be
+// freed and several systems can run side by side.
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"coltsfootstall/coltscontrol"
+	"coltsfootstall/coltsentry"
+	"coltsfootstall/coltsfleet"
+	"coltsfootstall/coltsidentity"
+	"coltsfootstall/coltslog"
+	"coltsfootstall/coltssettings"
+	"coltsfootstall/coltsstandin"
+)
+
+// Loopback is the address on which everything listens, with any port.
+var Loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+const (
+	// announcePeriod is how often stand-ins announce themselves.
+	announcePeriod = 200 * time.Millisecond
+	// readyTimeout bounds the wait for the system to come up.
+	readyTimeout = 20 * time.Second
+	// pollPeriod is how often a condition is looked at.
+	pollPeriod = 10 * time.Millisecond
+)
+
+// Config says what the system consists of.
+type Config struct {
+	// DataFolder holds the control instance's state.
+	DataFolder string
+	// Document is the initial document; empty for Document().
+	Document string
+	Entries  int
+	Runners  int
+	Stores   int
+	Services int
+	// Runner, Store and Service are the likeness of each stand-in; their
+	// identities and addresses are filled in.
+	Runner  coltsstandin.RunnerConfig
+	Store   coltsstandin.StoreConfig
+	Service coltsstandin.ServiceConfig
+	// Adjust changes the settings of entry i before it starts; nil for none.
+	Adjust func(i int, s *coltssettings.Settings)
+	Log    *coltslog.Log
+}
+
+// System is a running system.
+type System struct {
+	Control  *coltscontrol.Control
+	Entries  []*coltsentry.Entry
+	Runners  []*coltsstandin.Runner
+	Stores   []*coltsstandin.Store
+	Services []*coltsstandin.Service
+	cfg      Config
+}
+
+// Keys of the organisations and operators of Document.
+const (
+	KeySeedPaper   = "key-of-seed-paper"
+	KeySaltRoad    = "key-of-salt-road"
+	OperatorAmina  = "operator-key-of-amina"
+	OperatorBerk   = "operator-key-of-berk"
+	ModelName      = "batch-writer"
+	ModelVersion   = "w1"
+	ServiceName    = "press"
+	DataCentreName = "data-centre-1"
+)
+
+// Digest returns the digest of a key as the document wants it.
+func Digest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Document returns a small document with two organisations and two operators.
+func Document() string {
+	return fmt.Sprintf(`{
+  "organisations": [
+    {"id": "seed-paper", "key-digests": [%q], "models": [{"model": %q}], "services": [%q], "weight": 2},
+    {"id": "salt-road", "key-digests": [%q], "models": [{"model": %q}], "services": [%q], "weight": 1}
+  ],
+  "models": [{"id": %q, "current": %q, "versions": [%q]}],
+  "pricing": {
+    "models": [{"model": %q, "computed-micros": 400, "reused-micros": 40, "generated-micros": 1200}],
+    "services": [{"service": %q, "micros": 250000}]
+  },
+  "upstreams": {"trusted": [
+    {"network": "127.0.0.0/8", "kind": "runner", "data-centre": %[11]q, "checks-fencing": true},
+    {"network": "127.0.0.0/8", "kind": "store", "data-centre": %[11]q},
+    {"network": "127.0.0.0/8", "kind": "service", "data-centre": %[11]q}
+  ]},
+  "objectives": [{"name": "first-token", "first-token": "460ms", "per-mille": 950}],
+  "operators": [
+    {"id": "amina", "key-digest": %[12]q, "sections": ["organisations", "models", "pricing", "upstreams", "objectives", "operators"]},
+    {"id": "berk", "key-digest": %[13]q, "sections": ["organisations", "models", "pricing", "upstreams", "objectives", "operators"]}
+  ]
+}`,
+		Digest(KeySeedPaper), ModelName, ServiceName,
+		Digest(KeySaltRoad), ModelName, ServiceName,
+		ModelName, ModelVersion, ModelVersion,
+		ModelName, DataCentreName,
+		Digest(OperatorAmina), Digest(OperatorBerk))
+}
+
+// Start brings the system up and waits until every entry is ready and knows
+// every upstream.
+func Start(cfg Config) (*System, error) {
+	if cfg.Log == nil {
+		cfg.Log = coltslog.Discard()
+	}
+	if cfg.Document == "" {
+		cfg.Document = Document()
+	}
+	s := &System{cfg: cfg}
+	for _, step := range []func() error{s.startControl, s.startEntries, s.startStandins, s.waitReady} {
+		if err := step(); err != nil {
+			s.Stop()
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (s *System) startControl() error {
+	settings := coltssettings.Default()
+	settings.Instance = "control-1"
+	settings.DataCentre = DataCentreName
+	settings.Control.Addr = Loopback
+	settings.Control.OperatorAddr = Loopback
+	settings.Control.DataFolder = s.cfg.DataFolder
+	control, err := coltscontrol.New(coltscontrol.Config{
+		Settings:        settings,
+		Log:             s.cfg.Log,
+		InitialDocument: []byte(s.cfg.Document),
+	})
+	if err != nil {
+		return err
+	}
+	s.Control = control
+	return control.Start()
+}
+
+func (s *System) startEntries() error {
+	for i := range s.cfg.Entries {
+		entry, err := s.startEntry(i)
+		if err != nil {
+			return err
+		}
+		s.Entries = append(s.Entries, entry)
+	}
+	return nil
+}
+
+func (s *System) startEntry(i int) (*coltsentry.Entry, error) {
+	settings := coltssettings.Default()
+	settings.Instance = fmt.Sprintf("entry-%d", i+1)
+	settings.DataCentre = DataCentreName
+	settings.Entry.CallerAddr = Loopback
+	settings.Entry.UpstreamAddr = Loopback
+	settings.Entry.PeerAddr = Loopback
+	settings.Entry.OperatorAddr = Loopback
+	settings.Entry.Controls = []netip.AddrPort{s.Control.Addr()}
+	settings.Entry.DrainNotice = 0
+	if s.cfg.Adjust != nil {
+		s.cfg.Adjust(i, &settings)
+	}
+	entry, err := coltsentry.New(coltsentry.Config{Settings: settings, Log: s.cfg.Log})
+	if err != nil {
+		return nil, err
+	}
+	return entry, entry.Start()
+}
+
+func (s *System) startStandins() error {
+	for i := range s.cfg.Runners {
+		c := s.cfg.Runner
+		c.Config = s.standinConfig("runner", i)
+		c.Serving = []coltsfleet.Serving{{Model: ModelName, Version: ModelVersion}}
+		r, err := coltsstandin.StartRunner(c)
+		if err != nil {
+			return err
+		}
+		s.Runners = append(s.Runners, r)
+	}
+	for i := range s.cfg.Stores {
+		c := s.cfg.Store
+		c.Config = s.standinConfig("store", i)
+		store, err := coltsstandin.StartStore(c)
+		if err != nil {
+			return err
+		}
+		s.Stores = append(s.Stores, store)
+	}
+	for i := range s.cfg.Services {
+		c := s.cfg.Service
+		c.Config = s.standinConfig("service", i)
+		c.Service = ServiceName
+		service, err := coltsstandin.StartService(c)
+		if err != nil {
+			return err
+		}
+		s.Services = append(s.Services, service)
+	}
+	return nil
+}
+
+func (s *System) standinConfig(kind string, i int) coltsstandin.Config {
+	cfg := coltsstandin.Config{
+		ID:             coltsidentity.Upstream(fmt.Sprintf("%s-%d", kind, i+1)),
+		DataCentre:     DataCentreName,
+		Addr:           Loopback,
+		AnnouncePeriod: announcePeriod,
+	}
+	for _, e := range s.Entries {
+		cfg.Entries = append(cfg.Entries, e.UpstreamAddr())
+	}
+	return cfg
+}
+
+// waitReady waits until each entry knows each upstream.
+func (s *System) waitReady() error {
+	want := len(s.Runners) + len(s.Stores) + len(s.Services)
+	return Await(readyTimeout, "every entry knows every upstream", func() bool {
+		for _, e := range s.Entries {
+			if !e.Ready() || e.Upstreams() < want {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Await waits until a condition holds; what names it in the error.
+func Await(timeout time.Duration, what string, holds func() bool) error {
+	deadline := time.Now().Add(timeout)
+	for !holds() {
+		if time.Now().After(deadline) {
+			return errors.Errorf("%s: not so within %v", what, timeout)
+		}
+		time.Sleep(pollPeriod)
+	}
+	return nil
+}
+
+// Stop ends everything, entries first. Errors of ending are of no use to anyone.
+func (s *System) Stop() {
+	for _, e := range s.Entries {
+		_ = e.Shutdown()
+	}
+	for _, r := range s.Runners {
+		_ = r.Close()
+	}
+	for _, st := range s.Stores {
+		_ = st.Close()
+	}
+	for _, sv := range s.Services {
+		_ = sv.Close()
+	}
+	if s.Control != nil {
+		_ = s.Control.Shutdown()
+	}
+}
--- /dev/null
+++ b/coltswire/wire_member.go
@@ -0,0 +1,95 @@
+package coltswire
+
+// Members, counts of objectives and suspects are soft state that operators read.
+
+import (
+	"coltsfootstall/coltsattempt"
+	"coltsfootstall/coltsdocument"
+	"coltsfootstall/coltsidentity"
+	"coltsfootstall/coltsmembership"
+	"coltsfootstall/coltsobjective"
+	"coltsfootstall/coltswire/coltspb"
+)
+
+// EncodeMember returns a member's message.
+func EncodeMember(m coltsmembership.Member) *coltspb.Member {
+	return &coltspb.Member{
+		Id:           string(m.ID),
+		Role:         string(m.Role),
+		DataCentre:   string(m.DataCentre),
+		PeerAddr:     encodeAddr(m.PeerAddr),
+		OperatorAddr: encodeAddr(m.OperatorAddr),
+		Started:      EncodeTime(m.Started),
+		Revision:     uint64(m.Revision),
+		Ready:        m.Ready,
+	}
+}
+
+// DecodeMember reads a member's message.
+func DecodeMember(m *coltspb.Member) coltsmembership.Member {
+	return coltsmembership.Member{
+		ID:           coltsidentity.Instance(m.GetId()),
+		Role:         coltsmembership.Role(m.GetRole()),
+		DataCentre:   coltsidentity.DataCentre(m.GetDataCentre()),
+		PeerAddr:     decodeAddr(m.GetPeerAddr()),
+		OperatorAddr: decodeAddr(m.GetOperatorAddr()),
+		Started:      DecodeTime(m.GetStarted()),
+		Revision:     coltsdocument.Revision(m.GetRevision()),
+		Ready:        m.GetReady(),
+	}
+}
+
+// EncodeMembers returns the members' messages.
+func EncodeMembers(members []coltsmembership.Member) []*coltspb.Member {
+	return convert(members, EncodeMember)
+}
+
+// DecodeMembers reads the members' messages.
+func DecodeMembers(members []*coltspb.Member) []coltsmembership.Member {
+	return convert(members, DecodeMember)
+}
+
+// EncodeBurnRow returns a row's message.
+func EncodeBurnRow(r coltsobjective.Row) *coltspb.BurnRow {
+	return &coltspb.BurnRow{
+		Objective:    r.Series.Objective,
+		Organisation: string(r.Series.Organisation),
+		Model:        string(r.Series.Model),
+		Counts: convert(r.Counts[:], func(c coltsobjective.Counts) *coltspb.Counts {
+			return &coltspb.Counts{Good: c.Good, Bad: c.Bad}
+		}),
+	}
+}
+
+// DecodeBurnRow reads a row's message.
+func DecodeBurnRow(m *coltspb.BurnRow) coltsobjective.Row {
+	r := coltsobjective.Row{Series: coltsobjective.Series{
+		Objective:    m.GetObjective(),
+		Organisation: coltsidentity.Organisation(m.GetOrganisation()),
+		Model:        coltsidentity.Model(m.GetModel()),
+	}}
+	for i, c := range m.GetCounts() {
+		if i < len(r.Counts) {
+			r.Counts[i] = coltsobjective.Counts{Good: c.GetGood(), Bad: c.GetBad()}
+		}
+	}
+	return r
+}
+
+// EncodeSuspect returns a suspect's message.
+func EncodeSuspect(s coltsattempt.Suspect) *coltspb.Suspect {
+	return &coltspb.Suspect{
+		Fingerprint: s.Fingerprint[:],
+		Upstreams:   convert(s.Upstreams, func(u coltsidentity.Upstream) string { return string(u) }),
+		ForgetAt:    EncodeTime(s.ForgetAt),
+	}
+}
+
+// DecodeSuspect reads a suspect's message.
+func DecodeSuspect(m *coltspb.Suspect) coltsattempt.Suspect {
+	return coltsattempt.Suspect{
+		Fingerprint: decodeDigest(m.GetFingerprint()),
+		Upstreams:   convert(m.GetUpstreams(), func(s string) coltsidentity.Upstream { return coltsidentity.Upstream(s) }),
+		ForgetAt:    DecodeTime(m.GetForgetAt()),
+	}
+}
