--- a/coltscache/link.go
+++ b/coltscache/link.go
@@ -65,18 +65,19 @@
 	s.get(store).queued += pieces
 }
 
-// End takes a restore back and learns from it. took is zero if it failed.
-func (l *Links) End(store coltsidentity.Upstream, pieces int, took time.Duration) {
+// End takes a restore back that Begin was told of, and learns from the pieces
+// that came and the time that they took; both are zero if none came.
+func (l *Links) End(store coltsidentity.Upstream, begun, came int, took time.Duration) {
 	s := &l.shards[coltsshard.Of(store)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := s.get(store)
 	shared := k.queued
-	k.queued = max(0, k.queued-pieces)
-	if took <= 0 {
+	k.queued = max(0, k.queued-begun)
+	if came <= 0 || took <= 0 {
 		return
 	}
-	seen := float64(max(shared, pieces)) / took.Seconds()
+	seen := float64(max(shared, came)) / took.Seconds()
 	k.piecesPerSecond = (1-linkSmoothing)*k.piecesPerSecond + linkSmoothing*seen
 }
 
--- a/coltscache/restore_plan.go
+++ b/coltscache/restore_plan.go
@@ -16,10 +16,14 @@
 type RestorePlan struct {
 	Store coltsidentity.Upstream
 	Addr  netip.AddrPort
-	// From is the first piece to restore; the runner holds those before it.
-	From int
-	// Pieces is how many pieces to restore; 0 for none.
+	// From is the first piece that is expected to be restored, and Pieces how
+	// many are; 0 for none.
+	From   int
 	Pieces int
+	// UpTo is the piece before which the runner restores whatever it turns out
+	// not to hold. It can lie behind From+Pieces, because what a runner holds is
+	// only believed: the plan must also be good if it has evicted everything.
+	UpTo int
 	// Expected is the time until both restore and recompute have ended.
 	Expected time.Duration
 }
@@ -45,9 +49,26 @@
 	Sources          []Source
 }
 
-// PlanRestore returns the plan that ends soonest. Of plans that end alike the
-// one with the shorter restore is taken, to spare the link.
+// PlanRestore returns the plan that ends soonest, with the restore that would end
+// soonest if the runner held nothing as what it falls back on.
 func PlanRestore(in PlanInput) RestorePlan {
+	plan := planFrom(in)
+	if in.Held == 0 {
+		return plan
+	}
+	in.Held = 0
+	fallback := planFrom(in)
+	if fallback.UpTo > plan.UpTo {
+		plan.Store = fallback.Store
+		plan.Addr = fallback.Addr
+		plan.UpTo = fallback.UpTo
+	}
+	return plan
+}
+
+// planFrom plans for a runner that holds what it is believed to hold. Of plans
+// that end alike the one with the shorter restore is taken, to spare the link.
+func planFrom(in PlanInput) RestorePlan {
 	best := RestorePlan{From: in.Held, Expected: in.recompute(in.Held)}
 	for _, source := range in.Sources {
 		for n := 1; in.Held+n <= source.Pieces; n++ {
@@ -58,6 +79,7 @@
 					Addr:     source.Addr,
 					From:     in.Held,
 					Pieces:   n,
+					UpTo:     in.Held + n,
 					Expected: expected,
 				}
 			}
--- a/coltscontrol/control.go
+++ b/coltscontrol/control.go
@@ -26,6 +26,7 @@
 	"coltsfootstall/coltsmetric"
 	"coltsfootstall/coltssettings"
 	"coltsfootstall/coltsstate"
+	"coltsfootstall/coltsusage"
 	"coltsfootstall/coltswire/coltspb/coltspbconnect"
 )
 
@@ -283,3 +284,8 @@
 	c.log.Info("Stopped.", nil)
 	return errors.Wrap(err, "stop control")
 }
+
+// Spend returns what organisations used, by organisation and item.
+func (c *Control) Spend() []coltsusage.Line {
+	return c.machine.Account.Spend()
+}
--- a/coltsentry/prompt_driver.go
+++ b/coltsentry/prompt_driver.go
@@ -93,7 +93,7 @@
 	if len(to.Pieces) > 0 {
 		headers[coltscodec.HeaderPieces] = coltsupstream.PiecesHeader(to.Pieces)
 	}
-	if to.Restore.Pieces > 0 {
+	if to.Restore.UpTo > 0 {
 		headers[coltscodec.HeaderRestore] = coltsupstream.RestoreHeader(to.Restore)
 	}
 	if to.ResumeAt > 0 {
@@ -184,7 +184,11 @@
 // finish takes in the end of a whole answer.
 func (d *promptDriver) finish() {
 	d.ended = true
-	generated := max(d.generated, d.life.Delivered())
+	generated := d.generated
+	if generated == 0 {
+		// A runner that does not say is taken by the parts that it sent.
+		generated = d.life.Delivered()
+	}
 	d.e.metrics.Add(coltsmetric.Tokens, d.life.Delivered())
 	action := d.life.Finished(generated, d.e.cfg.Now())
 	d.e.charge(action.Done.Charge)
--- a/coltsjournal/journal.go
+++ b/coltsjournal/journal.go
@@ -210,12 +210,12 @@
 }
 
 // syncDir makes the names in a folder durable.
-func syncDir(dir string, sync func(*os.File) error) error {
+func syncDir(dir string, makeDurable func(*os.File) error) error {
 	f, err := os.Open(filepath.Clean(dir))
 	if err != nil {
 		return errors.Wrap(err, "open folder")
 	}
-	err = sync(f)
+	err = makeDurable(f)
 	if closeErr := f.Close(); err == nil {
 		err = closeErr
 	}
--- a/coltslink/link_http.go
+++ b/coltslink/link_http.go
@@ -44,16 +44,16 @@
 	return &http.Client{Transport: transport}
 }
 
-func dialer(cfg Config) func(ctx context.Context, network, addr string) (net.Conn, error) {
-	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+func dialer(cfg Config) func(ctx context.Context, network, target string) (net.Conn, error) {
+	return func(ctx context.Context, network, target string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 		defer cancel()
-		parsed, err := netip.ParseAddrPort(addr)
+		parsed, err := netip.ParseAddrPort(target)
 		if err == nil && cfg.Dial != nil {
 			return cfg.Dial(ctx, parsed)
 		}
 		var d net.Dialer
-		return d.DialContext(ctx, network, addr)
+		return d.DialContext(ctx, network, target)
 	}
 }
 
--- a/coltsrequest/request_life.go
+++ b/coltsrequest/request_life.go
@@ -157,10 +157,8 @@
 	if !found {
 		return Lookup{}, false
 	}
-	for _, h := range l.cfg.Directory.Locate(l.pieces, now) {
-		if h.Pieces == len(l.pieces) {
-			return Lookup{}, false
-		}
+	if l.believedOf(store.Announcement.ID, now) == len(l.pieces) {
+		return Lookup{}, false
 	}
 	return Lookup{
 		Store:    store.Announcement.ID,
@@ -170,6 +168,16 @@
 	}, true
 }
 
+// believedOf returns how many leading pieces an upstream is believed to hold.
+func (l *Life) believedOf(id coltsidentity.Upstream, now time.Time) int {
+	for _, h := range l.cfg.Directory.Locate(l.pieces, now) {
+		if h.Upstream == id {
+			return h.Pieces
+		}
+	}
+	return 0
+}
+
 // homeStore returns the store that keeps the prompt's pieces, the same one in
 // every entry.
 func (l *Life) homeStore(now time.Time) (coltsfleet.Candidate, bool) {
@@ -227,17 +235,11 @@
 		return nil
 	}
 	home, found := l.homeStore(now)
-	holdings := l.cfg.Directory.Locate(l.pieces, now)
 	var sources []coltscache.Source
 	for _, store := range l.cfg.Fleet.Stores(l.cfg.Document(), now) {
-		held := 0
+		held := l.believedOf(store.Announcement.ID, now)
 		if found && store.Announcement.ID == home.Announcement.ID {
-			held = l.storeHeld
-		}
-		for _, h := range holdings {
-			if h.Upstream == store.Announcement.ID {
-				held = max(held, h.Pieces)
-			}
+			held = max(held, l.storeHeld)
 		}
 		if held == 0 || store.Ejected {
 			continue
@@ -291,7 +293,7 @@
 	l.prefilled = true
 	l.outcome = coltsattempt.OutcomeRan
 	l.cfg.Fleet.FirstToken(l.upstream(), l.expectedCompute(), p.PromptTokens-p.Cached, now.Sub(l.sentAt))
-	l.endRestore(p.RestoreTook)
+	l.endRestore(int(p.Restored/coltscache.PieceTokens), p.RestoreTook)
 	l.cfg.Directory.Record(l.pieces, l.upstream(), now)
 	if l.delivered > 0 {
 		return
@@ -302,9 +304,17 @@
 	}
 }
 
-func (l *Life) endRestore(took time.Duration) {
-	if l.choice.Restore.Pieces > 0 {
-		l.cfg.Links.End(l.choice.Restore.Store, l.choice.Restore.Pieces, took)
+// endRestore learns from what a restore brought. Pieces that were expected and
+// did not come are no longer believed to be in the store.
+func (l *Life) endRestore(came int, took time.Duration) {
+	plan := l.choice.Restore
+	if plan.UpTo == 0 {
+		return
+	}
+	l.cfg.Links.End(plan.Store, plan.Pieces, came, took)
+	if l.prefilled && came < plan.Pieces {
+		l.cfg.Directory.Remove(l.pieces[plan.From+came:], plan.Store)
+		l.storeHeld = min(l.storeHeld, plan.From+came)
 	}
 }
 
@@ -348,12 +358,7 @@
 	if !found || store.Draining || store.Ejected {
 		return Export{}
 	}
-	held := l.storeHeld
-	for _, h := range l.cfg.Directory.Locate(l.pieces, now) {
-		if h.Upstream == store.Announcement.ID {
-			held = max(held, h.Pieces)
-		}
-	}
+	held := max(l.storeHeld, l.believedOf(store.Announcement.ID, now))
 	if held >= len(l.pieces) {
 		return Export{}
 	}
@@ -394,7 +399,7 @@
 func (l *Life) endAttempt(f coltsattempt.Failure, now time.Time) {
 	if !l.prefilled {
 		l.cfg.Fleet.Returned(l.upstream(), l.expectedCompute())
-		l.endRestore(0)
+		l.endRestore(0, 0)
 	}
 	if f.Phase == coltsattempt.PhaseRefused {
 		l.cfg.Fleet.Abandoned(l.upstream())
@@ -431,7 +436,7 @@
 	}
 	if l.attempts > 0 && !l.prefilled {
 		l.cfg.Fleet.Returned(l.upstream(), l.expectedCompute())
-		l.endRestore(0)
+		l.endRestore(0, 0)
 	}
 	if l.attempts > 0 {
 		l.cfg.Fleet.Abandoned(l.upstream())
--- a/coltsstandin/event_queue.go
+++ b/coltsstandin/event_queue.go
@@ -50,8 +50,8 @@
 }
 
 func (r *Runner) sendEvent() {
-	event, any := r.events.take(r.cfg.ID)
-	if !any || r.Faults().DropEvents {
+	event, some := r.events.take(r.cfg.ID)
+	if !some || r.Faults().DropEvents {
 		return
 	}
 	body, err := coltscodec.EncodeCacheEvent(event)
--- a/coltsstandin/runner.go
+++ b/coltsstandin/runner.go
@@ -148,6 +148,8 @@
 		r.active.end(string(ctx.Request.Header.Peek(coltscodec.HeaderRequest)))
 	case coltscodec.PathExport:
 		r.serveExport(ctx)
+	case PathFaults:
+		serveFaults(ctx, &r.faultSwitches)
 	default:
 		ctx.Error("there is no such path", fasthttp.StatusNotFound)
 	}
--- a/coltsstandin/runner_prefill.go
+++ b/coltsstandin/runner_prefill.go
@@ -20,11 +20,11 @@
 // restoreStall is how long one piece may take before it is computed instead.
 const restoreStall = 2 * time.Second
 
-// restoreOrder says which pieces to fetch from which store.
+// restoreOrder says from which store to fetch the pieces that are not held, up to
+// which piece.
 type restoreOrder struct {
-	store  netip.AddrPort
-	from   int
-	pieces int
+	store netip.AddrPort
+	upTo  int
 }
 
 // parseRestore reads the header that coltsupstream.RestoreHeader writes.
@@ -34,7 +34,7 @@
 	}
 	var addr string
 	var o restoreOrder
-	_, err := fmt.Sscanf(s, "%s %d %d", &addr, &o.from, &o.pieces)
+	_, err := fmt.Sscanf(s, "%s %d", &addr, &o.upTo)
 	if err != nil {
 		return restoreOrder{}, errors.Wrap(err, "restore header")
 	}
@@ -55,9 +55,7 @@
 	prompt := int64(len(j.prompt.Text)/coltscache.BytesPerToken) + 1
 	held := r.memory.leading(j.pieces)
 	wanted := r.wanted(j, held)
-	restored := make(chan int, 1)
-	start := time.Now()
-	var took time.Duration
+	restored := make(chan restoreResult, 1)
 	go func() { restored <- r.restore(ctx, j.restore.store, wanted) }()
 	// What follows the pieces to be restored is computed meanwhile.
 	rest := prompt - int64(held+len(wanted))*coltscache.PieceTokens
@@ -66,41 +64,48 @@
 		return prefillResult{err: err}
 	}
 	got := <-restored
-	if len(wanted) > 0 {
-		took = time.Since(start)
-	}
-	if missing := len(wanted) - got; missing > 0 {
+	if missing := len(wanted) - got.pieces; missing > 0 {
 		if err := r.engine.prefill(ctx, int64(missing)*coltscache.PieceTokens); err != nil {
 			return prefillResult{err: err}
 		}
 	}
 	r.remember(j.pieces)
-	cached := int64(held+got) * coltscache.PieceTokens
+	cached := int64(held+got.pieces) * coltscache.PieceTokens
 	return prefillResult{
 		prompt:      prompt,
 		cached:      cached,
-		restored:    int64(got) * coltscache.PieceTokens,
-		restoreTook: took,
+		restored:    int64(got.pieces) * coltscache.PieceTokens,
+		restoreTook: got.took,
 	}
 }
 
 // wanted returns the pieces to restore that follow those in memory.
 func (r *Runner) wanted(j job, held int) []coltscache.Piece {
-	end := min(j.restore.from+j.restore.pieces, len(j.pieces))
+	end := min(j.restore.upTo, len(j.pieces))
 	if !j.restore.store.IsValid() || end <= held {
 		return nil
 	}
 	return j.pieces[held:end]
 }
 
-// restore fetches pieces in order and returns how many came whole.
-func (r *Runner) restore(ctx context.Context, store netip.AddrPort, pieces []coltscache.Piece) int {
-	for i, p := range pieces {
+// restoreResult is how many pieces came whole, and how long they took.
+type restoreResult struct {
+	pieces int
+	took   time.Duration
+}
+
+// restore fetches pieces in order until one does not come whole.
+func (r *Runner) restore(ctx context.Context, store netip.AddrPort, pieces []coltscache.Piece) restoreResult {
+	start := time.Now()
+	var result restoreResult
+	for _, p := range pieces {
 		if ctx.Err() != nil || r.fetch(store, p) != nil {
-			return i
+			return result
 		}
+		result.pieces++
+		result.took = time.Since(start)
 	}
-	return len(pieces)
+	return result
 }
 
 // fetch gets one piece and checks its digest.
--- a/coltsstandin/service.go
+++ b/coltsstandin/service.go
@@ -75,7 +75,17 @@
 }
 
 func (s *Service) serve(ctx *fasthttp.RequestCtx) {
-	faults := s.Faults()
+	switch string(ctx.Path()) {
+	case PathFaults:
+		serveFaults(ctx, &s.faultSwitches)
+	case PathRuns:
+		writeJSON(ctx, s.Runs())
+	default:
+		s.serveCall(ctx, s.Faults())
+	}
+}
+
+func (s *Service) serveCall(ctx *fasthttp.RequestCtx, faults Faults) {
 	if faults.Refuse {
 		ctx.Response.Header.Set(coltscodec.HeaderOutcome, "not-run")
 		ctx.Error("busy", fasthttp.StatusServiceUnavailable)
--- a/coltsstandin/store.go
+++ b/coltsstandin/store.go
@@ -78,6 +78,8 @@
 func (s *Store) serve(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	switch {
+	case path == PathFaults:
+		serveFaults(ctx, &s.faultSwitches)
 	case path == coltscodec.PathLookup:
 		s.serveLookup(ctx)
 	case strings.HasPrefix(path, coltscodec.PathPieces):
--- a/coltssystem/system.go
+++ b/coltssystem/system.go
@@ -96,20 +96,20 @@
     "services": [{"service": %q, "micros": 250000}]
   },
   "upstreams": {"trusted": [
-    {"network": "127.0.0.0/8", "kind": "runner", "data-centre": %[11]q, "checks-fencing": true},
-    {"network": "127.0.0.0/8", "kind": "store", "data-centre": %[11]q},
-    {"network": "127.0.0.0/8", "kind": "service", "data-centre": %[11]q}
+    {"network": "127.0.0.0/8", "kind": "runner", "data-centre": %[12]q, "checks-fencing": true},
+    {"network": "127.0.0.0/8", "kind": "store", "data-centre": %[12]q},
+    {"network": "127.0.0.0/8", "kind": "service", "data-centre": %[12]q}
   ]},
   "objectives": [{"name": "first-token", "first-token": "460ms", "per-mille": 950}],
   "operators": [
-    {"id": "amina", "key-digest": %[12]q, "sections": ["organisations", "models", "pricing", "upstreams", "objectives", "operators"]},
-    {"id": "berk", "key-digest": %[13]q, "sections": ["organisations", "models", "pricing", "upstreams", "objectives", "operators"]}
+    {"id": "amina", "key-digest": %[13]q, "sections": ["organisations", "models", "pricing", "upstreams", "objectives", "operators"]},
+    {"id": "berk", "key-digest": %[14]q, "sections": ["organisations", "models", "pricing", "upstreams", "objectives", "operators"]}
   ]
 }`,
 		Digest(KeySeedPaper), ModelName, ServiceName,
 		Digest(KeySaltRoad), ModelName, ServiceName,
 		ModelName, ModelVersion, ModelVersion,
-		ModelName, DataCentreName,
+		ModelName, ServiceName, DataCentreName,
 		Digest(OperatorAmina), Digest(OperatorBerk))
 }
 
--- a/coltsupstream/upstream_client.go
+++ b/coltsupstream/upstream_client.go
@@ -100,9 +100,9 @@
 }
 
 // RestoreHeader returns the value of HeaderRestore for a plan: the store's
-// address, the first piece and the number of pieces.
+// address and the piece up to which to restore.
 func RestoreHeader(plan coltscache.RestorePlan) string {
-	return fmt.Sprintf("%s %d %d", plan.Addr, plan.From, plan.Pieces)
+	return fmt.Sprintf("%s %d", plan.Addr, plan.UpTo)
 }
 
 // PiecesHeader returns the value of HeaderPieces.
