Prove the path under failures of upstreams and connections.

Cause: failures were handled by design and shown by nothing. Found and mended: a flipped bit in a frame's length looked like a torn frame and would have cut a durable record (frames got a checksum of their head); a connection that went silent was counted as a crash, so an innocent prompt could be quarantined (an upstream counts as crashed only if it does not answer on a new connection); after one silent connection the others idle at that time were still trusted.

--- a/coltsattempt/retry_budget.go
+++ b/coltsattempt/retry_budget.go
@@ -19,7 +19,7 @@
 	// budgetMax is the most that an organisation can have saved up.
 	budgetMax = 20 * budgetUnit
 	// budgetInitial lets an organisation retry before it has sent much.
-	budgetInitial = 5 * budgetUnit
+	budgetInitial = 10 * budgetUnit
 )
 
 // Budget bounds the retries of each organisation.
--- a/coltsentry/caller_call.go
+++ b/coltsentry/caller_call.go
@@ -143,6 +143,7 @@
 			"Idempotency-Key": string(d.call.Key),
 		},
 		Deadline: to.Deadline,
+		Once:     !d.call.Repeatable,
 		Unheard:  true,
 	})
 	now := d.e.cfg.Now()
--- a/coltsentry/caller_watch.go
+++ b/coltsentry/caller_watch.go
@@ -14,9 +14,14 @@
 	"github.com/pkg/errors"
 )
 
-// callerWriteTimeout bounds each write to a caller, so that one whose connection
-// has gone silent doesn't hold its upstream for good.
-const callerWriteTimeout = 10 * time.Second
+const (
+	// callerWriteTimeout bounds each write to a caller, so that one whose
+	// connection has gone silent doesn't hold its upstream for good.
+	callerWriteTimeout = 10 * time.Second
+	// writeDeadlineStep is how far the deadline of writing moves on at a time, so
+	// that not every token sets a timer.
+	writeDeadlineStep = time.Second
+)
 
 // watchListener makes connections that can be watched.
 func watchListener(ln net.Listener) net.Listener {
@@ -39,6 +44,8 @@
 // watchedConn is a caller's connection.
 type watchedConn struct {
 	net.Conn
+	// writeDue is the deadline of writing; only the writer uses it.
+	writeDue time.Time
 
 	mu sync.Mutex
 	// kept is a byte that the watch has read; hasKept says that there is one.
@@ -48,10 +55,14 @@
 	done chan struct{}
 }
 
-// Write writes within callerWriteTimeout.
+// Write writes within callerWriteTimeout, give or take writeDeadlineStep.
 func (c *watchedConn) Write(b []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(callerWriteTimeout)); err != nil {
-		return 0, err
+	due := time.Now().Add(callerWriteTimeout)
+	if due.Sub(c.writeDue) >= writeDeadlineStep {
+		c.writeDue = due
+		if err := c.SetWriteDeadline(due); err != nil {
+			return 0, err
+		}
 	}
 	return c.Conn.Write(b)
 }
--- a/coltsentry/operator_server.go
+++ b/coltsentry/operator_server.go
@@ -4,17 +4,27 @@
 // that the process works; readiness says that callers should be sent here.
 
 import (
+	"bytes"
+
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/pprofhandler"
+
+	"coltsfootstall/coltsmetric"
 )
 
 // serveOperator serves every path of the operators' listener.
 func (e *Entry) serveOperator(ctx *fasthttp.RequestCtx) {
+	if bytes.HasPrefix(ctx.Path(), []byte("/debug/pprof/")) {
+		pprofhandler.PprofHandler(ctx)
+		return
+	}
 	switch string(ctx.Path()) {
 	case "/health":
 		ctx.SetBodyString("ok\n")
 	case "/ready":
 		e.serveReady(ctx)
 	case "/debug/vars":
+		e.metrics.Put(coltsmetric.Upstreams, int64(e.Upstreams()))
 		ctx.SetContentType("application/json")
 		ctx.SetBodyString(e.metrics.JSON())
 	default:
--- a/coltsjournal/journal_frame.go
+++ b/coltsjournal/journal_frame.go
@@ -14,12 +14,12 @@
 )
 
 const (
-	// frameHeaderBytes are the frame's length and its checksum.
-	frameHeaderBytes = 8
+	// frameHeaderBytes are the body's length, its checksum, and the checksum of
+	// both: without the last, a flipped bit in the length would look like a frame
+	// that was cut off.
+	frameHeaderBytes = 12
 	// recordHeaderBytes are a record's length inside a frame.
 	recordHeaderBytes = 4
-	// maxFrameBytes bounds a frame; a longer length is damage.
-	maxFrameBytes = 256 << 20
 	// sectorBytes is the unit in which a disk writes: a torn frame lacks whole
 	// sectors, which read as zeros.
 	sectorBytes = 512
@@ -38,6 +38,7 @@
 	body := b[start+frameHeaderBytes:]
 	binary.LittleEndian.PutUint32(b[start:], uint32(len(body)))
 	binary.LittleEndian.PutUint32(b[start+4:], crc32.Checksum(body, castagnoli))
+	binary.LittleEndian.PutUint32(b[start+8:], crc32.Checksum(b[start:start+8], castagnoli))
 	return b
 }
 
@@ -59,8 +60,8 @@
 	}
 	length := int(binary.LittleEndian.Uint32(b))
 	sum := binary.LittleEndian.Uint32(b[4:])
-	if length == 0 || length > maxFrameBytes {
-		return nil, 0, stateOfBadFrame(b)
+	if crc32.Checksum(b[:8], castagnoli) != binary.LittleEndian.Uint32(b[8:]) {
+		return nil, 0, stateOfBadFrame(b[:frameHeaderBytes])
 	}
 	if len(b) < frameHeaderBytes+length {
 		return nil, 0, frameTorn
@@ -76,7 +77,8 @@
 	return records, frameHeaderBytes + length, frameWhole
 }
 
-// stateOfBadFrame tells a torn frame from a damaged one by its zero sectors.
+// stateOfBadFrame tells a torn frame from a damaged one: a piece as long as a
+// sector, or all of a shorter one, that reads as zeros was never written.
 func stateOfBadFrame(b []byte) frameState {
 	for start := 0; start < len(b); start += sectorBytes {
 		if allZero(b[start:min(start+sectorBytes, len(b))]) {
--- a/coltsmetric/metric_table.go
+++ b/coltsmetric/metric_table.go
@@ -37,6 +37,7 @@
 	ExportsFailed    = Metric{"exports-failed", "orders", "of those, orders that failed"}
 	Announcements    = Metric{"announcements", "announcements", "announcements taken in that were news"}
 	Untrusted        = Metric{"announcements-untrusted", "announcements", "announcements that no rule trusts"}
+	Upstreams        = Metric{"upstreams", "upstreams", "live upstreams that this entry knows"}
 	CacheEvents      = Metric{"cache-events", "events", "cache events taken in"}
 	Grants           = Metric{"grants", "calls", "calls granted by the ledger"}
 	Replays          = Metric{"replays", "calls", "calls answered from the ledger"}
@@ -53,7 +54,7 @@
 var table = []Metric{
 	Requests, Refused, RequestsUnderWay, CallerLeft, Attempts, Retries, Resumes, Crossed, Silent,
 	Tokens, TokensComputed, TokensReused, FirstTokenMicros, FirstTokens, Lookups, Exports, ExportsFailed,
-	Announcements, Untrusted, CacheEvents, Grants, Replays, SettleRetries, Revision, DocumentAgeMilli,
+	Announcements, Untrusted, Upstreams, CacheEvents, Grants, Replays, SettleRetries, Revision, DocumentAgeMilli,
 	UsageBatches, Commands, Syncs, Snapshots,
 }
 
--- /dev/null
+++ b/coltsprocess/process_path_test.go
@@ -0,0 +1,97 @@
+package coltsprocess
+
+// The whole path as separate processes, and what happens to it at a shutdown and
+// when control dies.
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootstall/coltscaller"
+	"coltsfootstall/coltssystem"
+)
+
+func promptOf(name string, tokens int) coltscaller.Prompt {
+	return coltscaller.Prompt{
+		Model:     coltssystem.ModelName,
+		MaxTokens: tokens,
+		Messages:  []coltscaller.Message{{Role: "user", Content: "batch " + name}},
+	}
+}
+
+func assertWhole(t *testing.T, tokens int, r coltscaller.Reply, err error) {
+	t.Helper()
+	assert.NilError(t, err)
+	assert.Equal(t, r.Refusal, "")
+	assert.Assert(t, r.Whole)
+	assert.Equal(t, len(strings.Fields(r.Text)), tokens)
+}
+
+func TestShutdown(t *testing.T) {
+	c := startCluster(t, 2, 2, "--token-period", "20ms")
+	client := coltscaller.New(coltscaller.Config{Key: coltssystem.KeySeedPaper})
+	const streams, tokens = 8, 60
+	var wg sync.WaitGroup
+	replies := make([]coltscaller.Reply, streams)
+	errs := make([]error, streams)
+	for i := range streams {
+		wg.Go(func() { replies[i], errs[i] = client.Stream(c.callers(0), promptOf(fmt.Sprint(i), tokens)) })
+	}
+	err := coltssystem.Await(conditionTimeout, "every stream has begun", func() bool {
+		return c.metric(0, "first-tokens") == streams
+	})
+	assert.NilError(t, err)
+	operators := c.entries[0].addr(t, "operators")
+	c.entries[0].signal(t, syscall.SIGTERM)
+
+	t.Run("readiness fails while streams run", func(t *testing.T) {
+		err := coltssystem.Await(conditionTimeout, "readiness fails", func() bool {
+			_, status := get(t, operators, "/ready")
+			return status == http.StatusServiceUnavailable
+		})
+		assert.NilError(t, err)
+	})
+	t.Run("streams end whole", func(t *testing.T) {
+		wg.Wait()
+		for i := range streams {
+			assertWhole(t, tokens, replies[i], errs[i])
+		}
+	})
+	t.Run("the process ends with status 0", func(t *testing.T) {
+		assert.Equal(t, c.entries[0].waitExit(t), 0)
+	})
+}
+
+func TestControlDies(t *testing.T) {
+	c := startCluster(t, 2, 1)
+	client := coltscaller.New(coltscaller.Config{Key: coltssystem.KeySeedPaper})
+	call := coltscaller.Call{Service: coltssystem.ServiceName, Path: "runs", Key: "k1", Body: []byte("{}")}
+	first, err := client.Call(c.callers(0), call)
+	assert.NilError(t, err)
+	assert.Equal(t, first.Status, http.StatusOK)
+	c.control.kill()
+
+	t.Run("prompts are served without control", func(t *testing.T) {
+		r, err := client.Stream(c.callers(0), promptOf("alone", 5))
+		assertWhole(t, 5, r, err)
+	})
+	t.Run("a booking without a ledger is refused as not run", func(t *testing.T) {
+		r, err := client.Call(c.callers(0), coltscaller.Call{Service: coltssystem.ServiceName, Key: "k2"})
+		assert.NilError(t, err)
+		assert.Equal(t, r.Outcome, "not-run")
+		assert.Equal(t, r.Reason, "ledger-unreachable")
+	})
+	t.Run("after a restart the booking is answered from the ledger", func(t *testing.T) {
+		c.startControl()
+		r, err := client.Call(c.callers(1), call)
+		assert.NilError(t, err)
+		assert.Assert(t, r.Replayed)
+		assert.Equal(t, string(r.Body), string(first.Body))
+	})
+}
--- a/coltsproxy/proxy.go
+++ b/coltsproxy/proxy.go
@@ -4,8 +4,8 @@
 // leave one open connection silent while new ones work.
 package coltsproxy
 
-// A fault is set on the connections that are open at that moment, on new ones, or
-// on both, so that "the open ones are silent, new ones work" is one call.
+// A fault is set on the open connections or on new ones, so that "the open ones
+// are silent, new ones work" is one call.
 
 import (
 	"net"
@@ -15,13 +15,11 @@
 	"github.com/pkg/errors"
 )
 
-// bufferBytes is the size of a copy.
 const bufferBytes = 32 << 10
 
 // Direction says which way bytes go.
 type Direction int
 
-// The directions.
 const (
 	// Upward is from the one who connected to the target.
 	Upward Direction = iota
@@ -44,8 +42,8 @@
 
 	mu    sync.Mutex
 	pairs map[*pair]bool
-	// refuse closes new connections at once, silence never answers them.
-	refuse  bool
+	// closed refuses new connections, silence never answers them.
+	closed  bool
 	silence bool
 }
 
@@ -119,11 +117,11 @@
 	delete(p.pairs, c)
 }
 
-// admit takes a new connection in, unless new ones are refused.
+// admit takes a new connection in, unless the proxy ends.
 func (p *Proxy) admit(c *pair) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.refuse {
+	if p.closed {
 		return false
 	}
 	p.pairs[c] = true
@@ -133,8 +131,7 @@
 	return true
 }
 
-// copy passes bytes one way until either end closes. What waits at a gate then is
-// lost, as it is when a real path goes silent.
+// copy passes bytes one way until either end closes; what waits then is lost.
 func (p *Proxy) copy(c *pair, d Direction, to, from net.Conn) {
 	defer p.closePair(c)
 	b := make([]byte, bufferBytes)
@@ -180,10 +177,9 @@
 	if c.far != nil {
 		_ = c.far.Close()
 	}
-	for i := range c.gates {
-		// Whoever waits at a shut gate finds it shut and ends.
-		c.gates[i].move(true)
-	}
+	// Whoever waits at a gate finds it shut and ends.
+	c.gates[Upward].move(true)
+	c.gates[Downward].move(true)
 }
 
 // each runs fn on every open connection.
@@ -212,7 +208,7 @@
 	})
 }
 
-// setShut shuts the gate without waking anyone.
+// setShut shuts the gate without waking those who wait.
 func (g *gate) setShut() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -227,23 +223,14 @@
 	p.SilenceOpen()
 }
 
-// Refuse closes the open connections and each new one, until Heal.
-func (p *Proxy) Refuse() {
-	p.mu.Lock()
-	p.refuse = true
-	p.mu.Unlock()
-	p.Break()
-}
-
 // Heal lets bytes pass again, with what was held back.
 func (p *Proxy) Heal() {
 	p.mu.Lock()
-	p.silence, p.refuse = false, false
+	p.silence = false
 	p.mu.Unlock()
 	p.each(func(c *pair) {
-		for i := range c.gates {
-			c.gates[i].move(false)
-		}
+		c.gates[Upward].move(false)
+		c.gates[Downward].move(false)
 	})
 }
 
@@ -255,7 +242,7 @@
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
 	p.mu.Lock()
-	p.refuse = true
+	p.closed = true
 	p.mu.Unlock()
 	_ = p.listener.Close()
 	p.Break()
--- a/coltsstandin/runner.go
+++ b/coltsstandin/runner.go
@@ -102,10 +102,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	stopBase := r.stop
-	r.stop = func() { stop(); stopBase() }
-	r.loops.Go(func() { r.sendEvents(ctx) })
+	r.loops.Go(func() { r.sendEvents(r.running) })
 	return r, nil
 }
 
@@ -177,8 +174,7 @@
 		return
 	}
 	if faults.Refuse {
-		ctx.Response.Header.Set(coltscodec.HeaderOutcome, "not-run")
-		ctx.Error("busy", fasthttp.StatusServiceUnavailable)
+		refuse(ctx, "busy")
 		return
 	}
 	prompt, err := decode(ctx.PostBody())
@@ -187,8 +183,7 @@
 		return
 	}
 	if version := string(ctx.Request.Header.Peek(coltscodec.HeaderVersion)); version != "" && !r.serves(prompt.Model, version) {
-		ctx.Response.Header.Set(coltscodec.HeaderOutcome, "not-run")
-		ctx.Error("this version is not loaded", fasthttp.StatusServiceUnavailable)
+		refuse(ctx, "this version is not loaded")
 		return
 	}
 	j := newJob(ctx, prompt, faults)
--- a/coltsstandin/service.go
+++ b/coltsstandin/service.go
@@ -10,7 +10,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"coltsfootstall/coltscodec"
 	"coltsfootstall/coltsdocument"
 	"coltsfootstall/coltsfleet"
 	"coltsfootstall/coltsidentity"
@@ -87,8 +86,7 @@
 
 func (s *Service) serveCall(ctx *fasthttp.RequestCtx, faults Faults) {
 	if faults.Refuse {
-		ctx.Response.Header.Set(coltscodec.HeaderOutcome, "not-run")
-		ctx.Error("busy", fasthttp.StatusServiceUnavailable)
+		refuse(ctx, "busy")
 		return
 	}
 	time.Sleep(faults.slowed(s.service.Duration))
--- a/coltsstandin/standin_base.go
+++ b/coltsstandin/standin_base.go
@@ -45,6 +45,9 @@
 	Entries []netip.AddrPort
 	// AnnouncePeriod is how often it announces itself; 0 for each second.
 	AnnouncePeriod time.Duration
+	// Advertise gives the address to announce for the one listened on; nil to
+	// announce the latter.
+	Advertise func(netip.AddrPort) netip.AddrPort
 }
 
 // base serves a handler and announces it.
@@ -57,10 +60,14 @@
 	number   atomic.Uint64
 	turn     atomic.Uint64
 	leaving  atomic.Bool
+	// advertised is announced in place of the listener's own address.
+	advertised atomic.Pointer[netip.AddrPort]
 	// connections are closed by a crash.
 	connections connectionSet
-	stop        context.CancelFunc
-	loops       sync.WaitGroup
+	// running ends when the stand-in stops or crashes; stop ends it.
+	running context.Context
+	stop    context.CancelFunc
+	loops   sync.WaitGroup
 }
 
 // connectionSet holds a server's open connections.
@@ -115,9 +122,11 @@
 		// The listener's end is a close or a crash that was asked for.
 		_ = b.server.Serve(b.listener)
 	}()
-	ctx, stop := context.WithCancel(context.Background())
-	b.stop = stop
-	b.loops.Go(func() { b.announceUntil(ctx, announcement) })
+	if cfg.Advertise != nil {
+		b.Advertise(cfg.Advertise(b.Addr()))
+	}
+	b.running, b.stop = context.WithCancel(context.Background())
+	b.loops.Go(func() { b.announceUntil(b.running, announcement) })
 	return nil
 }
 
@@ -130,17 +139,24 @@
 // withHealth answers probes and says in every answer whose it is.
 func withHealth(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
-		if id := ctx.Request.Header.Peek(coltscodec.HeaderRequest); len(id) > 0 {
-			ctx.Response.Header.SetBytesV(coltscodec.HeaderRequest, id)
-		}
 		if string(ctx.Path()) == coltscodec.PathHealth {
 			ctx.SetBodyString("ok\n")
 			return
 		}
 		handler(ctx)
+		// The library's own errors reset the headers, so this comes last.
+		if len(ctx.Response.Header.Peek(coltscodec.HeaderRequest)) == 0 {
+			ctx.Response.Header.SetBytesV(coltscodec.HeaderRequest, ctx.Request.Header.Peek(coltscodec.HeaderRequest))
+		}
 	}
 }
 
+// refuse answers that a request was not run.
+func refuse(ctx *fasthttp.RequestCtx, reason string) {
+	ctx.Error(reason, fasthttp.StatusServiceUnavailable)
+	ctx.Response.Header.Set(coltscodec.HeaderOutcome, "not-run")
+}
+
 // Addr returns where the stand-in listens.
 func (b *base) Addr() netip.AddrPort {
 	tcp, ok := b.listener.Addr().(*net.TCPAddr)
@@ -168,6 +184,9 @@
 func (b *base) announceOnce(a coltsfleet.Announcement) {
 	a.ID = b.cfg.ID
 	a.Addr = b.Addr()
+	if other := b.advertised.Load(); other != nil {
+		a.Addr = *other
+	}
 	a.DataCentre = b.cfg.DataCentre
 	a.Incarnation = b.started
 	a.Number = b.number.Add(1)
@@ -205,6 +224,21 @@
 	return err
 }
 
+// Advertise announces another address from now on, such as that of a proxy.
+func (b *base) Advertise(addr netip.AddrPort) {
+	b.advertised.Store(&addr)
+}
+
+// ID returns the stand-in's name.
+func (b *base) ID() coltsidentity.Upstream {
+	return b.cfg.ID
+}
+
+// Alive says whether the stand-in has neither crashed nor been closed.
+func (b *base) Alive() bool {
+	return b.running.Err() == nil
+}
+
 // Leave asks for no new work from now on.
 func (b *base) Leave() {
 	b.leaving.Store(true)
--- a/coltssystem/system.go
+++ b/coltssystem/system.go
@@ -19,6 +19,7 @@
 	"coltsfootstall/coltsfleet"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslog"
+	"coltsfootstall/coltsproxy"
 	"coltsfootstall/coltssettings"
 	"coltsfootstall/coltsstandin"
 )
@@ -50,6 +51,8 @@
 	Runner  coltsstandin.RunnerConfig
 	Store   coltsstandin.StoreConfig
 	Service coltsstandin.ServiceConfig
+	// Proxied puts a fault-injecting proxy before each runner and service.
+	Proxied bool
 	// Adjust changes the settings of entry i before it starts; nil for none.
 	Adjust func(i int, s *coltssettings.Settings)
 	Log    *coltslog.Log
@@ -62,7 +65,9 @@
 	Runners  []*coltsstandin.Runner
 	Stores   []*coltsstandin.Store
 	Services []*coltsstandin.Service
-	cfg      Config
+	// Proxies stand before the upstreams of their names, if they are proxied.
+	Proxies map[coltsidentity.Upstream]*coltsproxy.Proxy
+	cfg     Config
 }
 
 // Keys of the organisations and operators of Document.
@@ -122,7 +127,7 @@
 	if cfg.Document == "" {
 		cfg.Document = Document()
 	}
-	s := &System{cfg: cfg}
+	s := &System{cfg: cfg, Proxies: map[coltsidentity.Upstream]*coltsproxy.Proxy{}}
 	for _, step := range []func() error{s.startControl, s.startEntries, s.startStandins, s.waitReady} {
 		if err := step(); err != nil {
 			s.Stop()
@@ -225,9 +230,24 @@
 	for _, e := range s.Entries {
 		cfg.Entries = append(cfg.Entries, e.UpstreamAddr())
 	}
+	if s.cfg.Proxied && kind != "store" {
+		cfg.Advertise = func(addr netip.AddrPort) netip.AddrPort { return s.proxy(cfg.ID, addr) }
+	}
 	return cfg
 }
 
+// proxy puts a proxy before an upstream and returns its address.
+func (s *System) proxy(id coltsidentity.Upstream, target netip.AddrPort) netip.AddrPort {
+	p, err := coltsproxy.Start(coltsproxy.Config{Addr: Loopback, Target: target})
+	if err != nil {
+		// Without its proxy the upstream is reached directly, which the test
+		// that asked for one notices.
+		return target
+	}
+	s.Proxies[id] = p
+	return p.Addr()
+}
+
 // waitReady waits until each entry knows each upstream.
 func (s *System) waitReady() error {
 	want := len(s.Runners) + len(s.Stores) + len(s.Services)
@@ -267,6 +287,9 @@
 	for _, sv := range s.Services {
 		_ = sv.Close()
 	}
+	for _, p := range s.Proxies {
+		p.Close()
+	}
 	if s.Control != nil {
 		_ = s.Control.Shutdown()
 	}
--- /dev/null
+++ b/coltssystem/system_client_test.go
@@ -0,0 +1,85 @@
+package coltssystem
+
+// An ordinary client of the OpenAI-style interface must work unchanged.
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"gotest.tools/v3/assert"
+
+	"coltsfootstall/coltsstandin"
+)
+
+func ordinaryClient(s *System, key string) openai.Client {
+	return openai.NewClient(
+		option.WithBaseURL("http://"+s.Entries[0].CallerAddr().String()+"/v1"),
+		option.WithAPIKey(key),
+		option.WithMaxRetries(0),
+	)
+}
+
+func chat(text string) openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model:     ModelName,
+		MaxTokens: openai.Int(5),
+		Messages:  []openai.ChatCompletionMessageParamUnion{openai.UserMessage(text)},
+	}
+}
+
+func assertAPIError(t *testing.T, err error, status int, code string) {
+	t.Helper()
+	var api *openai.Error
+	assert.Assert(t, errors.As(err, &api), "%v", err)
+	assert.Equal(t, api.StatusCode, status)
+	assert.Equal(t, api.Code, code)
+}
+
+func TestOrdinaryClient(t *testing.T) {
+	s := startSystem(t, nil)
+	client := ordinaryClient(s, KeySeedPaper)
+	ctx := context.Background()
+	want := coltsstandin.Answer([]byte("user\x00hello\x00"), 5)
+
+	t.Run("a chat completion", func(t *testing.T) {
+		r, err := client.Chat.Completions.New(ctx, chat("hello"))
+		assert.NilError(t, err)
+		assert.Equal(t, r.Choices[0].Message.Content, want)
+		assert.Equal(t, r.Usage.CompletionTokens, int64(5))
+	})
+	t.Run("a streamed chat completion", func(t *testing.T) {
+		stream := client.Chat.Completions.NewStreaming(ctx, chat("hello"))
+		var all openai.ChatCompletionAccumulator
+		for stream.Next() {
+			assert.Assert(t, all.AddChunk(stream.Current()))
+		}
+		assert.NilError(t, stream.Err())
+		assert.Equal(t, all.Choices[0].Message.Content, want)
+	})
+	t.Run("the list of models", func(t *testing.T) {
+		page, err := client.Models.List(ctx)
+		assert.NilError(t, err)
+		assert.Equal(t, page.Data[0].ID, ModelName)
+	})
+	t.Run("an unknown key", func(t *testing.T) {
+		stranger := ordinaryClient(s, "nobody")
+		_, err := stranger.Chat.Completions.New(ctx, chat("hello"))
+		assertAPIError(t, err, http.StatusUnauthorized, "unknown-key")
+	})
+	t.Run("an unknown model", func(t *testing.T) {
+		p := chat("hello")
+		p.Model = "nothing"
+		_, err := client.Chat.Completions.New(ctx, p)
+		assertAPIError(t, err, http.StatusNotFound, "unknown-model")
+	})
+	t.Run("a body without messages", func(t *testing.T) {
+		p := chat("hello")
+		p.Messages = nil
+		_, err := client.Chat.Completions.New(ctx, p)
+		assertAPIError(t, err, http.StatusBadRequest, "bad-request")
+	})
+}
--- /dev/null
+++ b/coltssystem/system_failure_test.go
@@ -0,0 +1,275 @@
+package coltssystem
+
+// Failures of upstreams and of connections, brought about on a whole system.
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootstall/coltscache"
+	"coltsfootstall/coltscaller"
+	"coltsfootstall/coltsmetric"
+	"coltsfootstall/coltsproxy"
+	"coltsfootstall/coltssettings"
+	"coltsfootstall/coltsstandin"
+)
+
+const conditionTimeout = 20 * time.Second
+
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	assert.NilError(t, Await(conditionTimeout, what, holds))
+}
+
+// setFaults switches the faults of every runner.
+func (s *System) setFaults(f coltsstandin.Faults) {
+	for _, r := range s.Runners {
+		r.SetFaults(f)
+	}
+}
+
+// count returns a metric's sum over all entries.
+func (s *System) count(m coltsmetric.Metric) int64 {
+	var sum int64
+	for _, e := range s.Entries {
+		sum += e.Metrics().Get(m)
+	}
+	return sum
+}
+
+func seedPaper() *coltscaller.Client {
+	return coltscaller.New(coltscaller.Config{Key: KeySeedPaper})
+}
+
+func assertRefusal(t *testing.T, r coltscaller.Reply, err error, outcome, reason string) {
+	t.Helper()
+	assert.NilError(t, err)
+	assert.Equal(t, r.Reason, reason, r.Refusal)
+	assert.Equal(t, r.Outcome, outcome)
+}
+
+func TestStreamFailures(t *testing.T) {
+	s := startSystem(t, func(c *Config) {
+		c.Proxied = true
+		c.Adjust = func(_ int, s *coltssettings.Settings) { s.Entry.SilenceTimeout = 500 * time.Millisecond }
+	})
+	for _, c := range []struct {
+		name   string
+		faults coltsstandin.Faults
+	}{
+		{"a stream that breaks is resumed and comes whole", coltsstandin.Faults{BreakAfterParts: 3}},
+		{"a stream that goes silent is resumed and comes whole", coltsstandin.Faults{SilentAfterParts: 3}},
+		{"a busy upstream's refusal is tried elsewhere", coltsstandin.Faults{Refuse: true}},
+		{"an answer to another request is dropped", coltsstandin.Faults{Cross: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			defer s.setFaults(coltsstandin.Faults{})
+			// One faulty runner: the retries that an organisation may add are few.
+			s.Runners[0].SetFaults(c.faults)
+			for i := range 6 {
+				p := promptOf(fmt.Sprint(c.name, i), 0)
+				r, err := seedPaper().Stream(s.Entries[i%2].CallerAddr(), p)
+				assertWhole(t, p, r, err)
+			}
+		})
+	}
+	t.Run("a stream that nobody can finish is not cut short silently", func(t *testing.T) {
+		defer s.setFaults(coltsstandin.Faults{})
+		s.setFaults(coltsstandin.Faults{BreakAfterParts: 2})
+		r, err := seedPaper().Stream(s.Entries[0].CallerAddr(), promptOf("unfinished", 0))
+		assertRefusal(t, r, err, "ran", "stream-broken")
+		assert.Assert(t, !r.Whole)
+	})
+	t.Run("crossed answers are counted", func(t *testing.T) {
+		assert.Assert(t, s.count(coltsmetric.Crossed) > 0)
+	})
+	t.Run("what every upstream refused did not run", func(t *testing.T) {
+		defer s.setFaults(coltsstandin.Faults{})
+		s.setFaults(coltsstandin.Faults{Refuse: true})
+		before := s.computed()
+		r, err := seedPaper().Stream(s.Entries[0].CallerAddr(), promptOf("refused", 0))
+		assertRefusal(t, r, err, "not-run", "overloaded")
+		assert.Equal(t, s.computed(), before)
+	})
+}
+
+func TestCallerLeaves(t *testing.T) {
+	s := startSystem(t, func(c *Config) { c.Runner.PrefillPerSecond = 1000 })
+	t.Run("a caller that hangs up during a long prefill ends it", func(t *testing.T) {
+		c, err := net.Dial("tcp", s.Entries[0].CallerAddr().String())
+		assert.NilError(t, err)
+		body := `{"model":"batch-writer","stream":true,"messages":[{"role":"user","content":"` +
+			strings.Repeat("long ", 40_000) + `"}]}`
+		_, err = fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n"+
+			"Content-Length: %d\r\n\r\n%s", KeySeedPaper, len(body), body)
+		assert.NilError(t, err)
+		await(t, "the prefill has begun", func() bool { return s.count(coltsmetric.Attempts) == 1 })
+		assert.NilError(t, c.Close())
+		await(t, "the runner has cancelled it", func() bool {
+			cancelled := 0
+			for _, r := range s.Runners {
+				cancelled += r.Cancelled()
+			}
+			return cancelled == 1
+		})
+		await(t, "the entry has noticed", func() bool { return s.count(coltsmetric.CallerLeft) == 1 })
+	})
+	t.Run("requests that follow on one connection are served", func(t *testing.T) {
+		client := seedPaper()
+		for i := range 20 {
+			p := promptOf(fmt.Sprint("follow", i), 0)
+			r, err := client.Stream(s.Entries[0].CallerAddr(), p)
+			assertWhole(t, p, r, err)
+		}
+	})
+}
+
+func TestSilentConnections(t *testing.T) {
+	s := startSystem(t, func(c *Config) {
+		c.Proxied = true
+		c.Entries = 1
+		c.Services = 1
+		c.Adjust = func(_ int, s *coltssettings.Settings) {
+			s.Entry.SilenceTimeout = 500 * time.Millisecond
+			s.Entry.ProbeTimeout = 100 * time.Millisecond
+			s.Entry.RequestTimeout = 10 * time.Second
+		}
+	})
+	client := seedPaper()
+	book := func(key string) (coltscaller.CallReply, error) {
+		return client.Call(s.Entries[0].CallerAddr(), coltscaller.Call{Service: ServiceName, Key: key})
+	}
+	for _, c := range []struct {
+		name       string
+		directions []coltsproxy.Direction
+	}{
+		{"both ways", nil},
+		{"towards the upstream", []coltsproxy.Direction{coltsproxy.Upward}},
+		{"from the upstream", []coltsproxy.Direction{coltsproxy.Downward}},
+	} {
+		t.Run("a booking is not lost on a pooled connection that went silent "+c.name, func(t *testing.T) {
+			r, err := book("before " + c.name)
+			assert.NilError(t, err)
+			assert.Equal(t, r.Outcome, "ran")
+			s.Proxies["service-1"].SilenceOpen(c.directions...)
+			r, err = book("after " + c.name)
+			assert.NilError(t, err)
+			assert.Equal(t, r.Outcome, "ran")
+			assert.Equal(t, s.runs("after "+c.name), 1)
+		})
+	}
+	t.Run("silent connections are counted", func(t *testing.T) {
+		assert.Assert(t, s.count(coltsmetric.Silent) >= 3)
+	})
+	t.Run("a prompt finds another way when its runner's connections go silent", func(t *testing.T) {
+		for i := range 4 {
+			_, err := client.Stream(s.Entries[0].CallerAddr(), promptOf(fmt.Sprint("warm", i), 0))
+			assert.NilError(t, err)
+		}
+		for _, r := range []string{"runner-1", "runner-2", "runner-3"} {
+			for id, p := range s.Proxies {
+				if string(id) == r {
+					p.SilenceOpen()
+				}
+			}
+		}
+		for i := range 4 {
+			p := promptOf(fmt.Sprint("silent", i), 0)
+			r, err := client.Stream(s.Entries[0].CallerAddr(), p)
+			assertWhole(t, p, r, err)
+		}
+	})
+}
+
+func TestCacheFaults(t *testing.T) {
+	s := startSystem(t, nil)
+	client := seedPaper()
+	p := promptOf("kept", 4)
+	r, err := client.Stream(s.Entries[0].CallerAddr(), p)
+	assertWhole(t, p, r, err)
+	await(t, "the store holds the prompt", func() bool { return s.Stores[0].Len() == 4 })
+	forget := func() {
+		for _, r := range s.Runners {
+			r.ForgetCache()
+		}
+	}
+
+	t.Run("another organisation's same prompt uses none of it", func(t *testing.T) {
+		before := s.computed()
+		other := coltscaller.New(coltscaller.Config{Key: KeySaltRoad})
+		r, err := other.Stream(s.Entries[0].CallerAddr(), p)
+		assertWhole(t, p, r, err)
+		assert.Assert(t, s.computed()-before >= 4*coltscache.PieceTokens)
+	})
+	t.Run("spoiled pieces are computed and not used", func(t *testing.T) {
+		defer s.Stores[0].SetFaults(coltsstandin.Faults{})
+		s.Stores[0].SetFaults(coltsstandin.Faults{CorruptPieces: true})
+		forget()
+		before := s.computed()
+		r, err := client.Stream(s.Entries[1].CallerAddr(), p)
+		assertWhole(t, p, r, err)
+		assert.Assert(t, s.computed()-before >= 4*coltscache.PieceTokens)
+	})
+	t.Run("a store that dies costs a recompute and no answer", func(t *testing.T) {
+		forget()
+		s.Stores[0].Crash()
+		r, err := client.Stream(s.Entries[0].CallerAddr(), p)
+		assertWhole(t, p, r, err)
+	})
+}
+
+func TestLeavingUpstream(t *testing.T) {
+	s := startSystem(t, nil)
+	client := seedPaper()
+	p := promptOf("home", 1)
+	first, err := client.Stream(s.Entries[0].CallerAddr(), p)
+	assertWhole(t, p, first, err)
+	for _, r := range s.Runners {
+		if string(r.ID()) == first.Upstream {
+			r.Leave()
+		}
+	}
+	await(t, "no entry sends it new work", func() bool {
+		for _, e := range s.Entries {
+			r, err := client.Stream(e.CallerAddr(), p)
+			if err != nil || r.Upstream == first.Upstream {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func TestPoison(t *testing.T) {
+	s := startSystem(t, func(c *Config) { c.Runners = 4 })
+	s.setFaults(coltsstandin.Faults{CrashOn: "POISON"})
+	client := seedPaper()
+	for i := range 6 {
+		r, err := client.Stream(s.Entries[0].CallerAddr(), promptOf("POISON", 0))
+		assert.NilError(t, err)
+		assert.Assert(t, r.Refused(), "%d", i)
+	}
+	t.Run("at most two upstreams are lost at one entry", func(t *testing.T) {
+		alive := 0
+		for _, r := range s.Runners {
+			if r.Alive() {
+				alive++
+			}
+		}
+		assert.Equal(t, alive, 2)
+	})
+	t.Run("an innocent prompt is served", func(t *testing.T) {
+		p := promptOf("innocent", 0)
+		r, err := client.Stream(s.Entries[0].CallerAddr(), p)
+		assertWhole(t, p, r, err)
+	})
+	t.Run("the refusal is truthful and clear", func(t *testing.T) {
+		r, err := client.Stream(s.Entries[0].CallerAddr(), promptOf("POISON", 0))
+		assertRefusal(t, r, err, "not-run", "quarantined")
+	})
+}
--- a/coltsupstream/upstream_client.go
+++ b/coltsupstream/upstream_client.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -21,6 +22,10 @@
 	"coltsfootstall/coltsidentity"
 )
 
+// silenceSteps is in how many steps the deadline of a stream's connection moves on
+// during the silence that is allowed.
+const silenceSteps = 4
+
 // maxAnswerBytes bounds an answer that is read whole.
 const maxAnswerBytes = 64 << 20
 
@@ -87,6 +92,9 @@
 	Headers map[string]string
 	// Deadline is when the request is given up.
 	Deadline time.Time
+	// Once says that the request may not be sent twice, so that it goes only over
+	// a connection that has just answered a probe.
+	Once bool
 	// Unheard says that the upstream sends no heartbeat, so that only the
 	// deadline ends the wait for its answer.
 	Unheard bool
@@ -127,11 +135,14 @@
 // exchange is one request on one connection.
 type exchange struct {
 	client *Client
+	ctx    context.Context
 	conn   *conn
 	req    Request
 	resp   *fasthttp.Response
 	// stop ends the watch on the context.
 	stop func() bool
+	// due is the deadline that the connection has.
+	due time.Time
 	// ended says that the answer was read to its end.
 	ended bool
 }
@@ -139,11 +150,11 @@
 // begin sends a request and reads the head of its answer. A nil Failure comes
 // with an exchange that must be closed.
 func (c *Client) begin(ctx context.Context, r Request) (*exchange, *Failure) {
-	nc, err := c.pool.get(ctx, r.Addr)
+	nc, err := c.pool.get(ctx, r.Addr, r.Once)
 	if err != nil {
 		return nil, failed(coltsattempt.PhaseUnsent, false, "upstream %s can't be reached: %v", r.Addr, err)
 	}
-	x := &exchange{client: c, conn: nc, req: r, resp: fasthttp.AcquireResponse()}
+	x := &exchange{client: c, ctx: ctx, conn: nc, req: r, resp: fasthttp.AcquireResponse()}
 	x.stop = context.AfterFunc(ctx, func() { c.pool.drop(nc) })
 	if failure := x.send(); failure != nil {
 		x.close()
@@ -177,7 +188,7 @@
 		err = x.conn.bw.Flush()
 	}
 	if err != nil {
-		return failed(coltsattempt.PhaseSent, true, "request to %s was cut off: %v", x.req.Addr, err)
+		return failed(coltsattempt.PhaseSent, x.hasCrashed(), "request to %s was cut off: %v", x.req.Addr, err)
 	}
 	return nil
 }
@@ -222,7 +233,9 @@
 	return f
 }
 
-// await sets when the next byte is due.
+// await sets when the next byte is due. A stream waits for every token, so the
+// connection's deadline is moved only when it would otherwise come too early by
+// more than a part of the silence that is allowed.
 func (x *exchange) await() {
 	due := x.req.Deadline
 	if !x.req.Unheard {
@@ -231,18 +244,33 @@
 			due = silentAt
 		}
 	}
+	if due.Sub(x.due) < x.client.cfg.SilenceTimeout/silenceSteps {
+		return
+	}
+	x.due = due
 	// A closed connection makes the read that follows fail.
 	_ = x.conn.SetReadDeadline(due)
 }
 
 // readFailure turns an error of reading into a failure.
 func (x *exchange) readFailure(phase coltsattempt.Phase, err error) *Failure {
-	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
-		x.client.cfg.OnSilent(x.req.Addr)
-		return failed(phase, true, "upstream %s went silent", x.req.Addr)
+	if isTimeout(err) {
+		x.client.pool.suspect(x.req.Addr)
+		return failed(phase, x.hasCrashed(), "upstream %s went silent", x.req.Addr)
 	}
-	return failed(phase, true, "answer of %s broke off: %v", x.req.Addr, err)
+	return failed(phase, x.hasCrashed(), "answer of %s broke off: %v", x.req.Addr, err)
+}
+
+// hasCrashed says whether the upstream is gone, rather than one connection to it:
+// an innocent request must not be blamed for what the network did.
+func (x *exchange) hasCrashed() bool {
+	return x.ctx.Err() == nil && !x.client.pool.answers(x.req.Addr)
+}
+
+// isTimeout says whether a read ended by its deadline. The library has an error
+// of its own for it.
+func isTimeout(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, fasthttp.ErrTimeout)
 }
 
 // close ends the exchange. The connection is kept only if the answer was read
--- a/coltsupstream/upstream_pool.go
+++ b/coltsupstream/upstream_pool.go
@@ -56,6 +56,10 @@
 type poolShard struct {
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*conn
+	// suspectedAt is when a connection to one of the shard's upstreams was last
+	// found silent. Whatever lost track of that one may have lost track of
+	// others, so none that was idle then is used without a probe.
+	suspectedAt time.Time
 }
 
 func newPool(cfg Config) *pool {
@@ -71,14 +75,15 @@
 }
 
 // get returns a connection that is known to reach the upstream: one that was
-// used a moment ago, one that has just answered a probe, or a new one.
-func (p *pool) get(ctx context.Context, addr netip.AddrPort) (*conn, error) {
+// used a moment ago, one that has just answered a probe, or a new one. With
+// probed, the first kind is not enough.
+func (p *pool) get(ctx context.Context, addr netip.AddrPort, probed bool) (*conn, error) {
 	for {
 		c := p.take(addr)
 		if c == nil {
 			return p.dial(ctx, addr)
 		}
-		if p.usable(c) {
+		if p.usable(c, probed) {
 			return c, nil
 		}
 		p.drop(c)
@@ -100,21 +105,56 @@
 }
 
 // usable says whether an idle connection still reaches the upstream.
-func (p *pool) usable(c *conn) bool {
+func (p *pool) usable(c *conn, probed bool) bool {
 	now := p.cfg.Now()
 	if now.Sub(c.idleSince) > idleTimeout || hasEnded(c.Conn) {
 		return false
 	}
-	if now.Sub(c.idleSince) < probeAfter {
+	trusted := now.Sub(c.idleSince) < probeAfter && !p.suspected(c)
+	if trusted && !probed {
 		return true
 	}
 	if err := probe(c, now.Add(p.cfg.ProbeTimeout)); err != nil {
-		p.cfg.OnSilent(c.addr)
+		p.suspect(c.addr)
 		return false
 	}
 	return true
 }
 
+// suspected says whether a connection was idle when another went silent.
+func (p *pool) suspected(c *conn) bool {
+	s := p.shard(c.addr)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !c.idleSince.After(s.suspectedAt)
+}
+
+// suspect takes in that a connection to an upstream was found silent.
+func (p *pool) suspect(addr netip.AddrPort) {
+	s := p.shard(addr)
+	s.mu.Lock()
+	s.suspectedAt = p.cfg.Now()
+	s.mu.Unlock()
+	p.cfg.OnSilent(addr)
+}
+
+// answers says whether an upstream answers a probe on a new connection.
+func (p *pool) answers(addr netip.AddrPort) bool {
+	deadline := p.cfg.Now().Add(p.cfg.ProbeTimeout)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	c, err := p.dial(ctx, addr)
+	if err != nil {
+		return false
+	}
+	if probe(c, deadline) != nil {
+		p.drop(c)
+		return false
+	}
+	p.put(c)
+	return true
+}
+
 // hasEnded says whether the other end has closed the connection, or has sent
 // something that nobody asked for, without waiting.
 func hasEnded(nc net.Conn) bool {
