--- /dev/null
+++ b/coltsreplica/replica_simulation_test.go
@@ -0,0 +1,395 @@
+package coltsreplica
+
+// Random schedules of the step function: messages are lost, doubled, delayed and
+// reordered, replicas crash at every point between persisting, sending and
+// applying, the configuration changes, and logs are compacted. After each step the
+// rules of agreement are checked. A schedule follows from its seed alone.
+//
+// CI runs a few hundred schedules; the full run is
+//
+//	go test ./coltsreplica -run Simulation -schedules 10000
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var (
+	schedules = flag.Int("schedules", 300, "number of random schedules")
+	firstSeed = flag.Uint64("seed", 1, "seed of the first schedule")
+)
+
+const (
+	simSteps       = 1500
+	simHeartbeat   = 100 * time.Millisecond
+	simElection    = 500 * time.Millisecond
+	simMaxDelay    = 300 * time.Millisecond
+	simHealSteps   = 4000
+	simCompactSpan = 10
+)
+
+var simStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// disk is what a replica keeps over a crash.
+type disk struct {
+	hard     HardState
+	snapshot Snapshot
+	entries  []Entry
+}
+
+// persist takes in what an output asks to keep.
+func (d *disk) persist(out Output) {
+	if out.Install != nil {
+		d.snapshot = *out.Install
+		d.entries = nil
+	}
+	if out.HardState != nil {
+		d.hard = *out.HardState
+	}
+	for _, e := range out.Entries {
+		if e.Index <= d.snapshot.Index {
+			continue
+		}
+		d.entries = append(d.entries[:e.Index-d.snapshot.Index-1:e.Index-d.snapshot.Index-1], e)
+	}
+}
+
+// member is a replica with its disk and its state machine.
+type member struct {
+	id      ID
+	replica *Replica
+	disk    disk
+	// applied is the state: the commands in order.
+	applied   []string
+	appliedAt uint64
+	down      bool
+}
+
+// envelope is a message under way.
+type envelope struct {
+	at      time.Time
+	message Message
+}
+
+// simulation is one schedule.
+type simulation struct {
+	t       *testing.T
+	rng     *rand.Rand
+	now     time.Time
+	members map[ID]*member
+	order   []ID
+	network []envelope
+	calm    bool
+	cut     map[ID]bool
+	// leaders holds who led each term, committed what is committed at each index.
+	leaders   map[uint64]ID
+	committed map[uint64]Entry
+	proposed  int
+}
+
+func newSimulation(t *testing.T, seed uint64) *simulation {
+	s := &simulation{
+		t:         t,
+		rng:       rand.New(rand.NewPCG(seed, 7)),
+		now:       simStart,
+		members:   map[ID]*member{},
+		cut:       map[ID]bool{},
+		leaders:   map[uint64]ID{},
+		committed: map[uint64]Entry{},
+	}
+	first := Configuration{}
+	for i := range 1 + 2*s.rng.IntN(3) {
+		first.Voters = append(first.Voters, ID(fmt.Sprintf("r%d", i)))
+	}
+	for i := range 6 {
+		id := ID(fmt.Sprintf("r%d", i))
+		m := &member{id: id, disk: disk{snapshot: Snapshot{Configuration: first}}}
+		s.members[id] = m
+		s.order = append(s.order, id)
+		s.boot(m)
+	}
+	return s
+}
+
+// boot starts a member from its disk.
+func (s *simulation) boot(m *member) {
+	m.down = false
+	m.applied = decodeState(m.disk.snapshot.Data)
+	m.appliedAt = m.disk.snapshot.Index
+	m.replica = New(Config{
+		ID:             m.id,
+		HeartbeatEvery: simHeartbeat,
+		ElectionAfter:  simElection,
+		Random:         s.rng.Int64N,
+		LoadSnapshot:   func() Snapshot { return m.disk.snapshot },
+	}, Restored{HardState: m.disk.hard, Snapshot: m.disk.snapshot, Entries: slices.Clone(m.disk.entries)}, s.now)
+}
+
+func encodeState(commands []string) []byte {
+	var b []byte
+	for _, c := range commands {
+		b = append(b, c...)
+		b = append(b, '\n')
+	}
+	return b
+}
+
+func decodeState(b []byte) []string {
+	var commands []string
+	for len(b) > 0 {
+		i := slices.Index(b, '\n')
+		commands = append(commands, string(b[:i]))
+		b = b[i+1:]
+	}
+	return commands
+}
+
+// chance says yes in a share of cases, and never in calm.
+func (s *simulation) chance(perMille int) bool {
+	return !s.calm && s.rng.IntN(1000) < perMille
+}
+
+// step does one random thing.
+func (s *simulation) step() {
+	s.now = s.now.Add(time.Duration(s.rng.Int64N(int64(20 * time.Millisecond))))
+	m := s.members[s.order[s.rng.IntN(len(s.order))]]
+	switch {
+	case s.chance(8):
+		m.down = true
+	case s.chance(8):
+		s.cut[m.id] = !s.cut[m.id]
+	case m.down && (s.calm || s.chance(100)):
+		s.boot(m)
+	}
+	if s.chance(5) {
+		s.changeMembership(m)
+	}
+	s.deliver()
+	for _, id := range s.order {
+		s.work(s.members[id])
+	}
+}
+
+// deliver hands out the messages that are due, in a random order.
+func (s *simulation) deliver() {
+	var due, later []envelope
+	for _, e := range s.network {
+		if e.at.After(s.now) {
+			later = append(later, e)
+		} else {
+			due = append(due, e)
+		}
+	}
+	s.network = later
+	s.rng.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	for _, e := range due {
+		to := s.members[e.message.To]
+		if !to.down && !s.cut[to.id] && !s.cut[e.message.From] {
+			to.replica.Step(e.message, s.now)
+			s.check(to)
+		}
+	}
+}
+
+// work lets a member tick, propose, and do what its outputs ask for.
+func (s *simulation) work(m *member) {
+	if m.down {
+		return
+	}
+	m.replica.Tick(s.now)
+	if m.replica.Role() == RoleLeader && s.rng.IntN(4) == 0 {
+		s.proposed++
+		_, _ = m.replica.Propose([][]byte{fmt.Appendf(nil, "c%d", s.proposed)})
+	}
+	for range 10 {
+		out := m.replica.Take()
+		if out.Empty() {
+			return
+		}
+		if !s.carryOut(m, out) {
+			m.down = true
+			return
+		}
+	}
+}
+
+// carryOut does what an output asks for; it returns false if the member crashes
+// on the way.
+func (s *simulation) carryOut(m *member, out Output) bool {
+	s.send(out.Early)
+	if s.chance(2) {
+		return false
+	}
+	m.disk.persist(out)
+	if n := len(out.Entries); n > 0 {
+		m.replica.Persisted(out.Entries[n-1].Index, out.Entries[n-1].Term)
+	}
+	if s.chance(2) {
+		return false
+	}
+	s.send(out.Messages)
+	if s.chance(2) {
+		return false
+	}
+	if out.Install != nil {
+		m.applied = decodeState(out.Install.Data)
+		m.appliedAt = out.Install.Index
+	}
+	for _, e := range out.Committed {
+		s.apply(m, e)
+	}
+	s.compact(m)
+	return true
+}
+
+func (s *simulation) send(messages []Message) {
+	for _, message := range messages {
+		copies := 1
+		if s.chance(50) {
+			copies = 0
+		}
+		if s.chance(20) {
+			copies = 2
+		}
+		for range copies {
+			delay := time.Duration(s.rng.Int64N(int64(10 * time.Millisecond)))
+			if s.chance(30) {
+				delay = time.Duration(s.rng.Int64N(int64(simMaxDelay)))
+			}
+			s.network = append(s.network, envelope{at: s.now.Add(delay), message: message})
+		}
+	}
+}
+
+// apply checks that every member applies the same at each index.
+func (s *simulation) apply(m *member, e Entry) {
+	assert.Equal(s.t, e.Index, m.appliedAt+1, "%s skips an entry", m.id)
+	m.appliedAt = e.Index
+	known, seen := s.committed[e.Index]
+	if seen {
+		assert.Equal(s.t, known.Term, e.Term, "%s applies another entry at %d", m.id, e.Index)
+		assert.Equal(s.t, string(known.Data), string(e.Data), "%s applies another command at %d", m.id, e.Index)
+	}
+	s.committed[e.Index] = e
+	if e.Kind == EntryCommand {
+		m.applied = append(m.applied, string(e.Data))
+	}
+}
+
+// compact saves a snapshot now and then and drops the log before it.
+func (s *simulation) compact(m *member) {
+	if m.appliedAt < m.disk.snapshot.Index+simCompactSpan || s.rng.IntN(5) > 0 {
+		return
+	}
+	term, known := m.replica.TermAt(m.appliedAt)
+	if !known {
+		return
+	}
+	old := m.disk.snapshot.Index
+	m.disk.snapshot = Snapshot{
+		Index:         m.appliedAt,
+		Term:          term,
+		Configuration: m.replica.ConfigurationAt(m.appliedAt),
+		Data:          encodeState(m.applied),
+	}
+	m.disk.entries = slices.Clone(m.disk.entries[min(m.appliedAt-old, uint64(len(m.disk.entries))):])
+	m.replica.Compact(m.appliedAt)
+}
+
+// changeMembership asks a leader for a random change.
+func (s *simulation) changeMembership(m *member) {
+	if m.down || m.replica.Role() != RoleLeader {
+		return
+	}
+	id := s.order[s.rng.IntN(len(s.order))]
+	switch s.rng.IntN(3) {
+	case 0:
+		_ = m.replica.AddLearner(id)
+	case 1:
+		_ = m.replica.Promote(id)
+	case 2:
+		if len(m.replica.Configuration().Voters) > 1 {
+			_ = m.replica.Remove(id)
+		}
+	}
+}
+
+// check asserts the rules that hold after every step.
+func (s *simulation) check(m *member) {
+	if m.replica.Role() == RoleLeader {
+		leader, known := s.leaders[m.replica.Term()]
+		assert.Assert(s.t, !known || leader == m.id, "term %d has leaders %s and %s", m.replica.Term(), leader, m.id)
+		s.leaders[m.replica.Term()] = m.id
+	}
+}
+
+// assertCommittedKept asserts that no committed entry is missing from the members
+// that have applied beyond it, and that a quorum can still produce it.
+func (s *simulation) assertCommittedKept() {
+	for _, id := range s.order {
+		m := s.members[id]
+		var want []string
+		for i := uint64(1); i <= m.appliedAt; i++ {
+			if e := s.committed[i]; e.Kind == EntryCommand {
+				want = append(want, string(e.Data))
+			}
+		}
+		assert.DeepEqual(s.t, m.applied, want)
+	}
+}
+
+// heal ends all faults and asserts that the group then agrees and goes on.
+func (s *simulation) heal() {
+	s.calm = true
+	s.cut = map[ID]bool{}
+	highest := uint64(0)
+	for i := range s.committed {
+		highest = max(highest, i)
+	}
+	for range simHealSteps {
+		s.step()
+		if s.agreedBeyond(highest) {
+			return
+		}
+	}
+	s.t.Fatalf("the group did not go on after it was healed; committed %d", highest)
+}
+
+// agreedBeyond says whether every voter of the leader's configuration has applied
+// more than what was committed before.
+func (s *simulation) agreedBeyond(index uint64) bool {
+	for _, id := range s.order {
+		leader := s.members[id]
+		if leader.down || leader.replica.Role() != RoleLeader {
+			continue
+		}
+		for _, voter := range leader.replica.Configuration().Voters {
+			if s.members[voter].appliedAt <= index {
+				return false
+			}
+		}
+		return true
+	}
+	return false
+}
+
+func TestSimulation(t *testing.T) {
+	for i := range *schedules {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			s := newSimulation(t, seed)
+			for range simSteps {
+				s.step()
+			}
+			s.assertCommittedKept()
+			s.heal()
+			s.assertCommittedKept()
+		})
+	}
+}
