Put control on the replicated log; let entries follow any instance and each other.

Cause: control kept its state on one disk, and an entry believed whichever control instance it followed, also one that is cut off. Change: a driver persists, sends and applies what coltsreplica asks for; requests that only the leader can serve are passed on once; an instance out of touch with the group sends followers elsewhere; an entry starts with a document that a quorum confirms, compares with one other entry a second, and is not ready while it hears nobody.

--- a/coltscontrol/control.go
+++ b/coltscontrol/control.go
@@ -10,14 +10,12 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
-	"coltsfootstall/coltscodec"
 	"coltsfootstall/coltsdocument"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslink"
@@ -27,6 +25,8 @@
 	"coltsfootstall/coltssettings"
 	"coltsfootstall/coltsstate"
 	"coltsfootstall/coltsusage"
+	"coltsfootstall/coltswire"
+	"coltsfootstall/coltswire/coltspb"
 	"coltsfootstall/coltswire/coltspb/coltspbconnect"
 )
 
@@ -35,8 +35,6 @@
 	beatPeriod = time.Second
 	// closeTimeout bounds the end of calls under way at a shutdown.
 	closeTimeout = 3 * time.Second
-	// bootstrapTimeout bounds the putting in force of the initial document.
-	bootstrapTimeout = 30 * time.Second
 )
 
 // Config says what a control instance is made of.
@@ -60,11 +58,12 @@
 
 	machine *coltsstate.Machine
 	roster  *coltsmembership.Roster
-	journal *stateLog
+	driver  *replicaDriver
 	// revised is fired when a document comes into force, reported when an
-	// instance reports itself.
+	// instance reports itself, led when the leader changes.
 	revised  *signal
 	reported *signal
+	led      *signal
 
 	listener  net.Listener
 	server    *http.Server
@@ -91,17 +90,24 @@
 		roster:   coltsmembership.NewRoster(),
 		revised:  newSignal(),
 		reported: newSignal(),
+		led:      newSignal(),
 	}
-	journal, err := openStateLog(c)
+	if err := c.loadInitialDocument(); err != nil {
+		return nil, err
+	}
+	driver, err := openDriver(c)
 	if err != nil {
 		return nil, err
 	}
-	c.journal = journal
+	c.driver = driver
 	return c, nil
 }
 
-// Start listens, begins the loops, and puts the initial document in force if the
-// state is empty.
+func (c *Control) id() coltsidentity.Instance {
+	return coltsidentity.Instance(c.cfg.Settings.Instance)
+}
+
+// Start listens and begins the loops.
 func (c *Control) Start() error {
 	var err error
 	c.listener, err = net.Listen("tcp", c.settings.Addr.String())
@@ -114,16 +120,18 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(coltspbconnect.NewControlHandler(&controlServer{c: c}))
+	mux.Handle(coltspbconnect.NewReplicaHandler(&replicaServer{d: c.driver}))
 	c.server = coltslink.NewServer(mux)
 	c.operator = &fasthttp.Server{Handler: c.serveOperator, Name: "coltsfootstall", CloseOnShutdown: true}
 	c.running, c.stop = context.WithCancel(context.Background())
-	c.loops.Go(func() { c.journal.run(c.running) })
+	c.loops.Go(func() { c.driver.run(c.running) })
+	for _, other := range c.driver.others {
+		c.loops.Go(func() { other.run(c.running) })
+	}
+	c.loops.Go(func() { c.bootstrap(c.running) })
 	c.loops.Go(func() { c.beat(c.running) })
 	go c.serve(func() error { return c.server.Serve(c.listener) })
 	go c.serve(func() error { return c.operator.Serve(c.operators) })
-	if err := c.bootstrap(); err != nil {
-		return err
-	}
 	c.log.Info("Started.", coltslog.Fields{
 		"address":   c.Addr(),
 		"operators": c.OperatorAddr(),
@@ -167,100 +175,38 @@
 	ticker := time.NewTicker(beatPeriod)
 	defer ticker.Stop()
 	for {
-		c.reportSelf()
+		revised := c.revised.wait()
+		c.reportSelf(ctx)
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-c.revised.wait():
+		case <-revised:
 		}
 	}
 }
 
-func (c *Control) reportSelf() {
-	c.roster.Heartbeat(coltsmembership.Member{
-		ID:           coltsidentity.Instance(c.cfg.Settings.Instance),
+func (c *Control) reportSelf(ctx context.Context) {
+	self := coltsmembership.Member{
+		ID:           c.id(),
 		Role:         coltsmembership.RoleControl,
 		DataCentre:   coltsidentity.DataCentre(c.cfg.Settings.DataCentre),
 		PeerAddr:     c.Addr(),
 		OperatorAddr: c.OperatorAddr(),
 		Started:      c.started,
 		Revision:     c.Revision(),
-		Ready:        true,
-	}, c.cfg.Now())
-	c.reported.fire()
-}
-
-// bootstrap puts the initial document in force, section by section, if no
-// section was ever accepted. Operators come last: from then on reviews count.
-func (c *Control) bootstrap() error {
-	text, err := c.initialDocument()
-	if err != nil || len(text) == 0 || c.Revision() > 0 {
-		return err
+		Ready:        c.inTouch(),
 	}
-	if _, problems := coltscodec.DecodeDocument(text); len(problems) > 0 {
-		return &coltsdocument.InvalidError{Problems: problems}
+	c.roster.Heartbeat(self, c.cfg.Now())
+	c.reported.fire()
+	leader, err := c.leaderOf(false)
+	if err != nil || leader == nil {
+		return
 	}
-	sources, _ := coltscodec.SplitDocument(text)
-	ctx, cancel := context.WithTimeout(context.Background(), bootstrapTimeout)
+	// One that is lost is made up for by the next.
+	callCtx, cancel := context.WithTimeout(ctx, beatPeriod)
 	defer cancel()
-	for _, name := range bootstrapOrder {
-		for _, source := range sources {
-			if source.Name != name {
-				continue
-			}
-			if err := c.bootstrapSection(ctx, source); err != nil {
-				return err
-			}
-		}
-	}
-	c.log.Info("Initial document in force.", coltslog.Fields{"revision": c.Revision()})
-	return nil
-}
-
-// bootstrapOrder is an order in which every section's references are in force
-// before it.
-var bootstrapOrder = []coltsdocument.SectionName{
-	coltsdocument.SectionModels,
-	coltsdocument.SectionPricing,
-	coltsdocument.SectionObjectives,
-	coltsdocument.SectionUpstreams,
-	coltsdocument.SectionOrganisations,
-	coltsdocument.SectionOperators,
-}
-
-func (c *Control) initialDocument() ([]byte, error) {
-	if c.cfg.InitialDocument != nil || c.settings.InitialDocument == "" {
-		return c.cfg.InitialDocument, nil
-	}
-	text, err := os.ReadFile(c.settings.InitialDocument)
-	return text, errors.Wrap(err, "read initial document")
-}
-
-func (c *Control) bootstrapSection(ctx context.Context, source coltscodec.SectionSource) error {
-	content, _ := coltscodec.DecodeSection(source.Name, source.Text)
-	id := coltsidentity.Change("initial-" + string(source.Name))
-	result, err := c.journal.submit(ctx, coltsstate.Command{
-		Kind: coltsstate.CommandPropose,
-		Propose: coltsdocument.Change{
-			ID:        id,
-			Section:   source.Name,
-			Base:      c.Revision(),
-			Content:   content,
-			Text:      string(source.Text),
-			Bootstrap: true,
-		},
-	})
-	if err == nil && result.Err == nil {
-		result, err = c.journal.submit(ctx, coltsstate.Command{
-			Kind:   coltsstate.CommandAccept,
-			Accept: coltsstate.Step{Change: id},
-		})
-	}
-	if err == nil {
-		err = result.Err
-	}
-	return errors.Wrapf(err, "put initial section %s in force", source.Name)
+	_, _ = leader.Heartbeat(callCtx, &coltspb.HeartbeatRequest{Member: coltswire.EncodeMember(self), Forwarded: true})
 }
 
 // Shutdown ends calls under way and closes the journal.
@@ -272,13 +218,14 @@
 	c.stop()
 	c.revised.fire()
 	c.reported.fire()
+	c.led.fire()
 	err := c.server.Shutdown(ctx)
 	if err != nil {
 		err = c.server.Close()
 	}
 	_ = c.operator.ShutdownWithContext(ctx)
 	c.loops.Wait()
-	if closeErr := c.journal.close(); err == nil {
+	if closeErr := c.driver.close(); err == nil {
 		err = closeErr
 	}
 	c.log.Info("Stopped.", nil)
--- a/coltscontrol/control_operator.go
+++ b/coltscontrol/control_operator.go
@@ -14,6 +14,10 @@
 			ctx.Error("stopping", fasthttp.StatusServiceUnavailable)
 			return
 		}
+		if !c.inTouch() {
+			ctx.Error("out of touch with the group", fasthttp.StatusServiceUnavailable)
+			return
+		}
 		ctx.SetBodyString("ready\n")
 	case "/debug/vars":
 		ctx.SetContentType("application/json")
--- a/coltscontrol/control_server.go
+++ b/coltscontrol/control_server.go
@@ -13,6 +13,7 @@
 
 	"coltsfootstall/coltsdocument"
 	"coltsfootstall/coltsidentity"
+	"coltsfootstall/coltsreplica"
 	"coltsfootstall/coltsstate"
 	"coltsfootstall/coltswire"
 	"coltsfootstall/coltswire/coltspb"
@@ -37,6 +38,14 @@
 
 // Submit carries out a command once it is durable.
 func (s *controlServer) Submit(ctx context.Context, r *coltspb.SubmitRequest) (*coltspb.SubmitReply, error) {
+	leader, err := s.c.leaderOf(r.GetForwarded())
+	if err != nil {
+		return nil, err
+	}
+	if leader != nil {
+		r.Forwarded = true
+		return leader.Submit(ctx, r)
+	}
 	command, err := coltswire.DecodeCommand(r.GetCommand())
 	var invalid *coltsdocument.InvalidError
 	if errors.As(err, &invalid) {
@@ -50,9 +59,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
-	result, err := s.c.journal.submit(ctx, command)
+	result, err := s.c.driver.submit(ctx, command)
 	if err != nil {
-		return nil, connect.NewError(connect.CodeUnavailable, err)
+		return nil, unavailable(err)
 	}
 	return encodeResult(command.Kind, result), nil
 }
@@ -111,12 +120,22 @@
 	return &coltspb.PlanReply{Plan: plan, Refusal: coltswire.EncodeRefusal(err)}, nil
 }
 
-// Follow answers as soon as a newer document is in force, or at the deadline.
+// Follow answers as soon as a newer document is in force, or at the deadline. An
+// instance that is out of touch with the group sends the asker elsewhere, so that
+// nobody follows one that is cut off.
 func (s *controlServer) Follow(ctx context.Context, r *coltspb.FollowRequest) (*coltspb.FollowReply, error) {
+	if r.GetFresh() {
+		return s.followFresh(ctx, r)
+	}
 	timer := time.NewTimer(coltswire.DecodeTime(r.GetAnswerBy()).Sub(s.c.cfg.Now()))
 	defer timer.Stop()
+	recheck := time.NewTicker(recheckPeriod)
+	defer recheck.Stop()
 	for {
 		revised := s.c.revised.wait()
+		if !s.c.inTouch() {
+			return nil, unavailable(errOutOfTouch)
+		}
 		document := s.c.machine.Register.Current()
 		if document.Revision > coltsdocument.Revision(r.GetAfter()) || s.c.stopping() {
 			return s.follow(document), nil
@@ -126,11 +145,28 @@
 			return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
 		case <-timer.C:
 			return s.follow(document), nil
+		case <-recheck.C:
 		case <-revised:
 		}
 	}
 }
 
+// followFresh answers with the document that a quorum confirms to be the newest.
+func (s *controlServer) followFresh(ctx context.Context, r *coltspb.FollowRequest) (*coltspb.FollowReply, error) {
+	leader, err := s.c.leaderOf(r.GetForwarded())
+	if err != nil {
+		return nil, err
+	}
+	if leader != nil {
+		r.Forwarded = true
+		return leader.Follow(ctx, r)
+	}
+	if err := s.c.driver.barrier(ctx); err != nil {
+		return nil, unavailable(err)
+	}
+	return s.follow(s.c.machine.Register.Current()), nil
+}
+
 func (s *controlServer) follow(d coltsdocument.Document) *coltspb.FollowReply {
 	return &coltspb.FollowReply{Document: coltswire.EncodeDocument(d, s.c.machine.Register.AcceptedAt)}
 }
@@ -149,7 +185,15 @@
 }
 
 // Heartbeat renews an instance's entry in the roster.
-func (s *controlServer) Heartbeat(_ context.Context, r *coltspb.HeartbeatRequest) (*coltspb.HeartbeatReply, error) {
+func (s *controlServer) Heartbeat(ctx context.Context, r *coltspb.HeartbeatRequest) (*coltspb.HeartbeatReply, error) {
+	leader, err := s.c.leaderOf(r.GetForwarded())
+	if err != nil {
+		return nil, err
+	}
+	if leader != nil {
+		r.Forwarded = true
+		return leader.Heartbeat(ctx, r)
+	}
 	member := coltswire.DecodeMember(r.GetMember())
 	now := s.c.cfg.Now()
 	if r.GetLeaving() {
@@ -164,17 +208,71 @@
 	}, nil
 }
 
-// Status lists the live instances.
-func (s *controlServer) Status(context.Context, *coltspb.StatusRequest) (*coltspb.StatusReply, error) {
+// Status lists the live instances, as the leader knows them. Without a leader each
+// instance tells what it knows.
+func (s *controlServer) Status(ctx context.Context, r *coltspb.StatusRequest) (*coltspb.StatusReply, error) {
+	leader, err := s.c.leaderOf(r.GetForwarded())
+	if err == nil && leader != nil {
+		r.Forwarded = true
+		return leader.Status(ctx, r)
+	}
+	v := s.c.driver.view.Load()
 	return &coltspb.StatusReply{
-		Members:  coltswire.EncodeMembers(s.c.roster.Live(s.c.cfg.Now())),
-		Revision: uint64(s.c.Revision()),
-		Bookings: int64(s.c.machine.Ledger.Len()),
+		Members:       coltswire.EncodeMembers(s.c.roster.Live(s.c.cfg.Now())),
+		Revision:      uint64(s.c.Revision()),
+		Bookings:      int64(s.c.machine.Ledger.Len()),
+		LogIndex:      v.applied,
+		Leader:        string(v.leader),
+		Term:          v.term,
+		Configuration: coltswire.EncodeConfiguration(v.configuration),
+	}, nil
+}
+
+// ChangeReplicas adds, promotes or removes a control instance.
+func (s *controlServer) ChangeReplicas(
+	ctx context.Context, r *coltspb.ChangeReplicasRequest,
+) (*coltspb.ChangeReplicasReply, error) {
+	leader, err := s.c.leaderOf(r.GetForwarded())
+	if err != nil {
+		return nil, err
+	}
+	if leader != nil {
+		r.Forwarded = true
+		return leader.ChangeReplicas(ctx, r)
+	}
+	var operator coltsidentity.Operator
+	if err := s.nameOperator(&operator, "", r.GetOperatorKey()); err != nil {
+		return &coltspb.ChangeReplicasReply{Refusal: coltswire.EncodeRefusal(err)}, nil
+	}
+	apply, known := replicaSteps[r.GetStep()]
+	if !known {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.Errorf("there is no step %q", r.GetStep()))
+	}
+	member := coltsidentity.Instance(r.GetMember())
+	err = s.c.driver.change(ctx, func(n *coltsreplica.Replica) error { return apply(n, member) })
+	return &coltspb.ChangeReplicasReply{
+		Configuration: coltswire.EncodeConfiguration(s.c.driver.view.Load().configuration),
+		Refusal:       coltswire.EncodeRefusal(err),
 	}, nil
 }
 
+// replicaSteps are the changes of the group by their names.
+var replicaSteps = map[string]func(*coltsreplica.Replica, coltsidentity.Instance) error{
+	"add":     (*coltsreplica.Replica).AddLearner,
+	"promote": (*coltsreplica.Replica).Promote,
+	"remove":  (*coltsreplica.Replica).Remove,
+}
+
 // Wait answers when every live instance has a revision, or at the deadline.
 func (s *controlServer) Wait(ctx context.Context, r *coltspb.WaitRequest) (*coltspb.WaitReply, error) {
+	leader, err := s.c.leaderOf(r.GetForwarded())
+	if err != nil {
+		return nil, err
+	}
+	if leader != nil {
+		r.Forwarded = true
+		return leader.Wait(ctx, r)
+	}
 	revision := coltsdocument.Revision(r.GetRevision())
 	answerBy := coltswire.DecodeTime(r.GetAnswerBy())
 	recheck := time.NewTicker(recheckPeriod)
--- a/coltsentry/control_link.go
+++ b/coltsentry/control_link.go
@@ -15,7 +15,6 @@
 	"coltsfootstall/coltslink"
 	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsmembership"
-	"coltsfootstall/coltsmetric"
 	"coltsfootstall/coltsstate"
 	"coltsfootstall/coltsusage"
 	"coltsfootstall/coltswire"
@@ -24,6 +23,9 @@
 )
 
 const (
+	// freshTimeout is how long an entry that starts insists on a document that a
+	// quorum confirms.
+	freshTimeout = 10 * time.Second
 	// followWait is how long control may hold a question for a newer document.
 	followWait = 10 * time.Second
 	// callTimeout bounds one try of a call that is answered at once.
@@ -100,15 +102,27 @@
 	}
 }
 
-// follow keeps the newest document in force until ctx ends.
+// follow keeps the newest document in force until ctx ends. It begins with one
+// that a quorum confirms, so that a process that starts does not serve by an old
+// document; only if no quorum can be had for long does it take what any control
+// instance or entry has.
 func (l *controlLink) follow(ctx context.Context) {
+	freshBy := l.e.cfg.Now().Add(freshTimeout)
+	fresh := true
+	failing := false
 	for ctx.Err() == nil {
 		i := l.current()
-		err := l.followOnce(ctx, l.clients[i])
+		err := l.followOnce(ctx, l.clients[i], fresh)
 		if err == nil {
+			fresh, failing = false, false
 			continue
 		}
-		if ctx.Err() == nil {
+		if fresh && !l.e.cfg.Now().Before(freshBy) {
+			fresh = false
+			l.e.log.Warn("No quorum confirms the document; taking what others have.", nil)
+		}
+		if ctx.Err() == nil && !failing {
+			failing = true
 			l.e.log.Warn("Control does not answer; trying the next instance.",
 				coltslog.Fields{"control": l.addrs[i], "error": err})
 		}
@@ -117,27 +131,19 @@
 	}
 }
 
-func (l *controlLink) followOnce(ctx context.Context, client coltspbconnect.ControlClient) error {
+func (l *controlLink) followOnce(ctx context.Context, client coltspbconnect.ControlClient, fresh bool) error {
 	ctx, cancel := context.WithTimeout(ctx, followWait+callTimeout)
 	defer cancel()
 	reply, err := client.Follow(ctx, &coltspb.FollowRequest{
 		After:    uint64(l.e.document().Revision),
 		AnswerBy: coltswire.EncodeTime(l.e.cfg.Now().Add(followWait)),
+		Fresh:    fresh,
 	})
 	if err != nil {
 		return err
 	}
-	document, err := coltswire.DecodeDocument(reply.GetDocument())
-	if err != nil {
-		return errors.Wrap(err, "document from control")
-	}
-	l.e.metrics.Put(coltsmetric.DocumentAgeMilli, l.e.cfg.Now().UnixMilli())
-	before := l.e.document().Revision
-	l.e.putInForce(document)
-	if l.e.document().Revision > before {
-		l.announce()
-	}
-	return nil
+	l.e.heard()
+	return l.e.takeDocument(reply.GetDocument())
 }
 
 // announce asks for a heartbeat at once.
@@ -175,6 +181,7 @@
 		l.next(i)
 		return
 	}
+	l.e.heard()
 	l.e.peers.setPeers(entriesOf(coltswire.DecodeMembers(reply.GetPeers())))
 }
 
--- a/coltsentry/entry.go
+++ b/coltsentry/entry.go
@@ -31,6 +31,8 @@
 	"coltsfootstall/coltssettings"
 	"coltsfootstall/coltsupstream"
 	"coltsfootstall/coltsusage"
+	"coltsfootstall/coltswire"
+	"coltsfootstall/coltswire/coltspb"
 )
 
 const (
@@ -40,6 +42,9 @@
 	// backgroundQueue bounds those that wait; further ones are dropped, except
 	// settlements, which wait for room.
 	backgroundQueue = 4096
+	// isolationTimeout is how long an entry may hear nobody before it counts as
+	// isolated.
+	isolationTimeout = 10 * time.Second
 	// attemptQueue bounds the requests that wait for one of max-under-way.
 	attemptQueue = 1024
 )
@@ -62,7 +67,13 @@
 	metrics  *coltsmetric.Set
 	started  time.Time
 
-	index       atomic.Pointer[coltsdocument.Index]
+	index atomic.Pointer[coltsdocument.Index]
+	// text is the document in force as it is passed on.
+	text atomic.Pointer[coltspb.DocumentText]
+	// revising is held while a document comes into force.
+	revising sync.Mutex
+	// heardAt is when control or another entry was last heard.
+	heardAt     atomic.Pointer[time.Time]
 	fleet       *coltsfleet.Fleet
 	directory   *coltscache.Directory
 	quarantine  *coltsattempt.Quarantine
@@ -154,15 +165,48 @@
 	return e.index.Load().Document
 }
 
-// putInForce takes in a newer document. Revisions only rise.
-func (e *Entry) putInForce(d coltsdocument.Document) {
+// takeDocument puts a document in force that another instance has sent.
+func (e *Entry) takeDocument(m *coltspb.DocumentText) error {
+	if coltsdocument.Revision(m.GetRevision()) <= e.document().Revision {
+		return nil
+	}
+	d, err := coltswire.DecodeDocument(m)
+	if err != nil {
+		return errors.Wrap(err, "document from another instance")
+	}
+	e.putInForce(d, m)
+	return nil
+}
+
+// putInForce takes in a newer document. Revisions only rise, whichever instances
+// send them at once.
+func (e *Entry) putInForce(d coltsdocument.Document, text *coltspb.DocumentText) {
+	e.revising.Lock()
+	defer e.revising.Unlock()
 	if d.Revision <= e.document().Revision {
 		return
 	}
+	e.text.Store(text)
 	e.index.Store(coltsdocument.NewIndex(d))
 	e.metrics.Put(coltsmetric.Revision, int64(d.Revision))
 	forgotten := e.fleet.Reconsider(d)
 	e.log.Info("Document in force.", coltslog.Fields{"revision": d.Revision, "upstreams-forgotten": forgotten})
+	e.control.announce()
+}
+
+// heard takes in a sign of life of control or of another entry.
+func (e *Entry) heard() {
+	now := e.cfg.Now()
+	e.heardAt.Store(&now)
+	e.metrics.Put(coltsmetric.DocumentAgeMilli, now.UnixMilli())
+}
+
+// isolated says that neither control nor another entry was heard for long. Such
+// an instance can't learn of changes, so callers should go elsewhere. While
+// control alone is down, entries hear each other and go on serving.
+func (e *Entry) isolated() bool {
+	last := e.heardAt.Load()
+	return last != nil && e.cfg.Now().Sub(*last) > isolationTimeout
 }
 
 func (e *Entry) observeFirstToken(p coltsrequest.Prompt, took time.Duration, now time.Time) {
@@ -191,10 +235,10 @@
 	})
 }
 
-// ready says whether callers can be served: a document is in force and the
-// instance is not shutting down.
+// ready says whether callers should be sent here: a document is in force, and the
+// instance is neither shutting down nor isolated.
 func (e *Entry) ready() bool {
-	return !e.draining.Load() && e.document().Revision > 0
+	return !e.draining.Load() && e.document().Revision > 0 && !e.isolated()
 }
 
 // member is the entry as it reports itself.
@@ -222,6 +266,7 @@
 	e.loops.Go(func() { e.control.follow(ctx) })
 	e.loops.Go(func() { e.control.beat(ctx) })
 	e.loops.Go(func() { e.peers.spread(ctx) })
+	e.loops.Go(func() { e.peers.compare(ctx) })
 	e.loops.Go(func() { e.reportUsage(ctx) })
 	e.log.Info("Started.", coltslog.Fields{
 		"callers":   e.CallerAddr(),
--- a/coltsentry/operator_server.go
+++ b/coltsentry/operator_server.go
@@ -36,6 +36,8 @@
 	switch {
 	case e.draining.Load():
 		ctx.Error("draining", fasthttp.StatusServiceUnavailable)
+	case e.isolated():
+		ctx.Error("neither control nor another entry is heard", fasthttp.StatusServiceUnavailable)
 	case !e.ready():
 		ctx.Error("no document is in force yet", fasthttp.StatusServiceUnavailable)
 	default:
--- a/coltsentry/peer_link.go
+++ b/coltsentry/peer_link.go
@@ -26,6 +26,8 @@
 	spreadTo = 3
 	// spreadGather is how long news is gathered before it is passed on.
 	spreadGather = 100 * time.Millisecond
+	// comparePeriod is how often an entry compares its document with a peer's.
+	comparePeriod = time.Second
 	// shareTimeout bounds one message to a peer.
 	shareTimeout = time.Second
 )
@@ -119,18 +121,39 @@
 		request.Announcements = append(request.Announcements, coltswire.EncodeAnnouncement(a))
 	}
 	for _, p := range l.pick(spreadTo) {
-		shareCtx, cancel := context.WithTimeout(ctx, shareTimeout)
-		_, err := p.client.Share(shareCtx, request)
-		cancel()
-		if err != nil {
-			l.e.log.Debug("A peer does not answer.", coltslog.Fields{"peer": p.member.ID, "error": err})
-		}
+		l.share(ctx, p, request)
 	}
 	return newest
 }
 
+// share sends one message to a peer and takes in a newer document.
+func (l *peerLink) share(ctx context.Context, p peer, request *coltspb.ShareRequest) {
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	request.Revision = uint64(l.e.document().Revision)
+	reply, err := p.client.Share(ctx, request)
+	if err == nil {
+		l.e.heard()
+		err = l.e.takeDocument(reply.GetDocument())
+	}
+	if err != nil {
+		l.e.log.Debug("A peer does not answer.", coltslog.Fields{"peer": p.member.ID, "error": err})
+	}
+}
+
+// compare asks one peer after another for a newer document until ctx ends, so
+// that an entry whose link to control has gone silent does not stay behind.
+func (l *peerLink) compare(ctx context.Context) {
+	for pause(ctx, comparePeriod) {
+		for _, p := range l.pick(1) {
+			l.share(ctx, p, &coltspb.ShareRequest{})
+		}
+	}
+}
+
 // Share takes in what another entry passes on.
 func (l *peerLink) Share(_ context.Context, r *coltspb.ShareRequest) (*coltspb.ShareReply, error) {
+	l.e.heard()
 	for _, m := range r.GetAnnouncements() {
 		// An untrusted one is counted and logged where it is refused.
 		_ = l.e.announce(coltswire.DecodeAnnouncement(m))
@@ -138,7 +161,11 @@
 	for _, m := range r.GetEvents() {
 		l.e.takeEvent(coltswire.DecodeCacheEvent(m))
 	}
-	return &coltspb.ShareReply{}, nil
+	reply := &coltspb.ShareReply{}
+	if text := l.e.text.Load(); text.GetRevision() > r.GetRevision() {
+		reply.Document = text
+	}
+	return reply, nil
 }
 
 // Burn reports the counts of objectives.
--- a/coltsreplica/replica.go
+++ b/coltsreplica/replica.go
@@ -139,9 +139,25 @@
 	n.handedOut = r.Snapshot.Index
 	n.followers = map[ID]*follower{}
 	n.resetElection(now)
+	if len(n.log.configuration.Voters) == 1 && n.log.configuration.IsVoter(cfg.ID) {
+		// Nobody else could lead, so there is nothing to wait for.
+		n.electionAt = now
+	}
 	return n
 }
 
+// InTouchUntil returns until when what this replica has committed counts as
+// recent: it leads, or has heard the leader a moment ago.
+func (n *Replica) InTouchUntil(now time.Time) time.Time {
+	switch {
+	case n.role == RoleLeader:
+		return now.Add(2 * n.cfg.ElectionAfter)
+	case n.leader != "":
+		return n.leaseUntil.Add(n.cfg.ElectionAfter)
+	}
+	return time.Time{}
+}
+
 // Leader returns who leads; empty if that is not known.
 func (n *Replica) Leader() ID { return n.leader }
 
--- a/coltssettings/settings.go
+++ b/coltssettings/settings.go
@@ -49,6 +49,16 @@
 	InitialDocument string         `json:"initial-document" unit:"path" usage:"document to begin with when the state is empty; empty for none"`
 	SegmentBytes    int            `json:"segment-bytes" unit:"bytes" min:"4096" usage:"size at which a new segment of the journal is begun"`
 	SnapshotEvery   int            `json:"snapshot-every" unit:"commands" min:"1" usage:"commands after which the state is written as a snapshot"`
+	Replicas        []Replica      `json:"replicas" unit:"instances" usage:"every control instance of the group: instance, address, and joins for one that is added to a running group; empty for a group of one"`
+}
+
+// Replica is a control instance as the others know it.
+type Replica struct {
+	Instance string         `json:"instance"`
+	Addr     netip.AddrPort `json:"address"`
+	// Joins says that it is no member of the first configuration: it is added
+	// to the running group by an operator.
+	Joins bool `json:"joins"`
 }
 
 // Default returns the settings that an empty file gives.
--- a/coltssettings/settings_table.go
+++ b/coltssettings/settings_table.go
@@ -62,6 +62,8 @@
 		return "duration"
 	case t.Kind() == reflect.Slice:
 		return "list of " + typeName(t.Elem())
+	case t == reflect.TypeFor[Replica]():
+		return "instance, address and joins"
 	case t.Kind() == reflect.Struct:
 		return "address"
 	case t.Kind() == reflect.Bool:
@@ -137,6 +139,7 @@
 	if len(s.Entry.Controls) == 0 {
 		c.add("entry/control-addresses", "is empty, expected at least one address")
 	}
+	c.replicas(s)
 	if s.Control.DataFolder == "" {
 		c.add("control/data-folder", "is empty, expected a path")
 	}
@@ -194,6 +197,21 @@
 	}
 }
 
+// replicas checks that each instance of the group stands once and has an address.
+func (c *checker) replicas(s Settings) {
+	seen := map[string]bool{}
+	for i, r := range s.Control.Replicas {
+		path := fmt.Sprintf("control/replicas/%d", i)
+		if r.Instance == "" || seen[r.Instance] {
+			c.add(path, "names instance %q, expected a name that stands once", r.Instance)
+		}
+		if !r.Addr.IsValid() {
+			c.add(path, "has no address")
+		}
+		seen[r.Instance] = true
+	}
+}
+
 // differ checks that no two addresses are the same, unless their port is 0.
 func (c *checker) differ(addrs map[string]string) {
 	taken := map[string]string{}
--- a/coltswire/coltspb/coltspbconnect/colts.connect.go
+++ b/coltswire/coltspb/coltspbconnect/colts.connect.go
@@ -26,6 +26,8 @@
 const (
 	// ControlName is the fully-qualified name of the Control service.
 	ControlName = "colts.v1.Control"
+	// ReplicaName is the fully-qualified name of the Replica service.
+	ReplicaName = "colts.v1.Replica"
 	// PeerName is the fully-qualified name of the Peer service.
 	PeerName = "colts.v1.Peer"
 )
@@ -54,6 +56,10 @@
 	ControlWaitProcedure = "/colts.v1.Control/Wait"
 	// ControlSpendProcedure is the fully-qualified name of the Control's Spend RPC.
 	ControlSpendProcedure = "/colts.v1.Control/Spend"
+	// ControlChangeReplicasProcedure is the fully-qualified name of the Control's ChangeReplicas RPC.
+	ControlChangeReplicasProcedure = "/colts.v1.Control/ChangeReplicas"
+	// ReplicaDeliverProcedure is the fully-qualified name of the Replica's Deliver RPC.
+	ReplicaDeliverProcedure = "/colts.v1.Replica/Deliver"
 	// PeerShareProcedure is the fully-qualified name of the Peer's Share RPC.
 	PeerShareProcedure = "/colts.v1.Peer/Share"
 	// PeerBurnProcedure is the fully-qualified name of the Peer's Burn RPC.
@@ -80,6 +86,8 @@
 	Wait(context.Context, *coltspb.WaitRequest) (*coltspb.WaitReply, error)
 	// Spend lists what organisations used.
 	Spend(context.Context, *coltspb.SpendRequest) (*coltspb.SpendReply, error)
+	// ChangeReplicas adds, promotes or removes a control instance.
+	ChangeReplicas(context.Context, *coltspb.ChangeReplicasRequest) (*coltspb.ChangeReplicasReply, error)
 }
 
 // NewControlClient constructs a client for the colts.v1.Control service. By default, it uses the
@@ -141,19 +149,26 @@
 			connect.WithSchema(controlMethods.ByName("Spend")),
 			connect.WithClientOptions(opts...),
 		),
+		changeReplicas: connect.NewClient[coltspb.ChangeReplicasRequest, coltspb.ChangeReplicasReply](
+			httpClient,
+			baseURL+ControlChangeReplicasProcedure,
+			connect.WithSchema(controlMethods.ByName("ChangeReplicas")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // controlClient implements ControlClient.
 type controlClient struct {
-	submit    *connect.Client[coltspb.SubmitRequest, coltspb.SubmitReply]
-	plan      *connect.Client[coltspb.PlanRequest, coltspb.PlanReply]
-	follow    *connect.Client[coltspb.FollowRequest, coltspb.FollowReply]
-	history   *connect.Client[coltspb.HistoryRequest, coltspb.HistoryReply]
-	heartbeat *connect.Client[coltspb.HeartbeatRequest, coltspb.HeartbeatReply]
-	status    *connect.Client[coltspb.StatusRequest, coltspb.StatusReply]
-	wait      *connect.Client[coltspb.WaitRequest, coltspb.WaitReply]
-	spend     *connect.Client[coltspb.SpendRequest, coltspb.SpendReply]
+	submit         *connect.Client[coltspb.SubmitRequest, coltspb.SubmitReply]
+	plan           *connect.Client[coltspb.PlanRequest, coltspb.PlanReply]
+	follow         *connect.Client[coltspb.FollowRequest, coltspb.FollowReply]
+	history        *connect.Client[coltspb.HistoryRequest, coltspb.HistoryReply]
+	heartbeat      *connect.Client[coltspb.HeartbeatRequest, coltspb.HeartbeatReply]
+	status         *connect.Client[coltspb.StatusRequest, coltspb.StatusReply]
+	wait           *connect.Client[coltspb.WaitRequest, coltspb.WaitReply]
+	spend          *connect.Client[coltspb.SpendRequest, coltspb.SpendReply]
+	changeReplicas *connect.Client[coltspb.ChangeReplicasRequest, coltspb.ChangeReplicasReply]
 }
 
 // Submit calls colts.v1.Control.Submit.
@@ -228,6 +243,15 @@
 	return nil, err
 }
 
+// ChangeReplicas calls colts.v1.Control.ChangeReplicas.
+func (c *controlClient) ChangeReplicas(ctx context.Context, req *coltspb.ChangeReplicasRequest) (*coltspb.ChangeReplicasReply, error) {
+	response, err := c.changeReplicas.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // ControlHandler is an implementation of the colts.v1.Control service.
 type ControlHandler interface {
 	// Submit carries out a command once it is durable.
@@ -246,6 +270,8 @@
 	Wait(context.Context, *coltspb.WaitRequest) (*coltspb.WaitReply, error)
 	// Spend lists what organisations used.
 	Spend(context.Context, *coltspb.SpendRequest) (*coltspb.SpendReply, error)
+	// ChangeReplicas adds, promotes or removes a control instance.
+	ChangeReplicas(context.Context, *coltspb.ChangeReplicasRequest) (*coltspb.ChangeReplicasReply, error)
 }
 
 // NewControlHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -303,6 +329,12 @@
 		connect.WithSchema(controlMethods.ByName("Spend")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlChangeReplicasHandler := connect.NewUnaryHandlerSimple(
+		ControlChangeReplicasProcedure,
+		svc.ChangeReplicas,
+		connect.WithSchema(controlMethods.ByName("ChangeReplicas")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/colts.v1.Control/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ControlSubmitProcedure:
@@ -321,6 +353,8 @@
 			controlWaitHandler.ServeHTTP(w, r)
 		case ControlSpendProcedure:
 			controlSpendHandler.ServeHTTP(w, r)
+		case ControlChangeReplicasProcedure:
+			controlChangeReplicasHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -362,6 +396,86 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("colts.v1.Control.Spend is not implemented"))
 }
 
+func (UnimplementedControlHandler) ChangeReplicas(context.Context, *coltspb.ChangeReplicasRequest) (*coltspb.ChangeReplicasReply, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("colts.v1.Control.ChangeReplicas is not implemented"))
+}
+
+// ReplicaClient is a client for the colts.v1.Replica service.
+type ReplicaClient interface {
+	// Deliver hands over messages; they are answered by messages.
+	Deliver(context.Context, *coltspb.DeliverRequest) (*coltspb.DeliverReply, error)
+}
+
+// NewReplicaClient constructs a client for the colts.v1.Replica service. By default, it uses the
+// Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and sends
+// uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
+// connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewReplicaClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) ReplicaClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	replicaMethods := coltspb.File_colts_proto.Services().ByName("Replica").Methods()
+	return &replicaClient{
+		deliver: connect.NewClient[coltspb.DeliverRequest, coltspb.DeliverReply](
+			httpClient,
+			baseURL+ReplicaDeliverProcedure,
+			connect.WithSchema(replicaMethods.ByName("Deliver")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// replicaClient implements ReplicaClient.
+type replicaClient struct {
+	deliver *connect.Client[coltspb.DeliverRequest, coltspb.DeliverReply]
+}
+
+// Deliver calls colts.v1.Replica.Deliver.
+func (c *replicaClient) Deliver(ctx context.Context, req *coltspb.DeliverRequest) (*coltspb.DeliverReply, error) {
+	response, err := c.deliver.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// ReplicaHandler is an implementation of the colts.v1.Replica service.
+type ReplicaHandler interface {
+	// Deliver hands over messages; they are answered by messages.
+	Deliver(context.Context, *coltspb.DeliverRequest) (*coltspb.DeliverReply, error)
+}
+
+// NewReplicaHandler builds an HTTP handler from the service implementation. It returns the path on
+// which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewReplicaHandler(svc ReplicaHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	replicaMethods := coltspb.File_colts_proto.Services().ByName("Replica").Methods()
+	replicaDeliverHandler := connect.NewUnaryHandlerSimple(
+		ReplicaDeliverProcedure,
+		svc.Deliver,
+		connect.WithSchema(replicaMethods.ByName("Deliver")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/colts.v1.Replica/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case ReplicaDeliverProcedure:
+			replicaDeliverHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedReplicaHandler returns CodeUnimplemented from all methods.
+type UnimplementedReplicaHandler struct{}
+
+func (UnimplementedReplicaHandler) Deliver(context.Context, *coltspb.DeliverRequest) (*coltspb.DeliverReply, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("colts.v1.Replica.Deliver is not implemented"))
+}
+
 // PeerClient is a client for the colts.v1.Peer service.
 type PeerClient interface {
 	// Share passes on announcements and cache events.
