Prove the group of control instances under kills, cuts and repairs.

Cause: the log was proved by schedules of the step function only. 'replica add|promote|remove' changes the group. Found and mended: an entry that started while no quorum was left never became ready, although control instances and entries had a document; after ten seconds it now takes what any instance has, and control instances without a leader keep a roster of their own.

--- a/coltscommand/command_status.go
+++ b/coltscommand/command_status.go
@@ -41,7 +41,9 @@
 		return err
 	}
 	w := tabwriter.NewWriter(c.Writer, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintf(w, "revision %d, %d bookings in the ledger\n\n", reply.GetRevision(), reply.GetBookings())
+	_, _ = fmt.Fprintf(w, "revision %d, %d bookings in the ledger\n", reply.GetRevision(), reply.GetBookings())
+	_, _ = fmt.Fprintf(w, "leader %s, term %d, log index %d, voters %v, learners %v\n\n", orNone(reply.GetLeader()),
+		reply.GetTerm(), reply.GetLogIndex(), reply.GetConfiguration().GetVoters(), reply.GetConfiguration().GetLearners())
 	_, _ = fmt.Fprintln(w, "INSTANCE\tROLE\tDATA CENTRE\tREADY\tREVISION\tOPERATORS' ADDRESS")
 	for _, m := range coltswire.DecodeMembers(reply.GetMembers()) {
 		_, _ = fmt.Fprintln(w, memberLine(m))
@@ -49,6 +51,13 @@
 	return w.Flush()
 }
 
+func orNone(name string) string {
+	if name == "" {
+		return "none"
+	}
+	return name
+}
+
 func memberLine(m coltsmembership.Member) string {
 	return fmt.Sprintf("%s\t%s\t%s\t%t\t%d\t%s", m.ID, m.Role, m.DataCentre, m.Ready, m.Revision, m.OperatorAddr)
 }
--- a/coltscommand/command_table.go
+++ b/coltscommand/command_table.go
@@ -23,6 +23,7 @@
 	commandControl,
 	commandDocument,
 	commandStatus,
+	commandReplica,
 	commandReport,
 	commandSuspects,
 	commandSettings,
--- a/coltscontrol/control_server.go
+++ b/coltscontrol/control_server.go
@@ -133,7 +133,7 @@
 	defer recheck.Stop()
 	for {
 		revised := s.c.revised.wait()
-		if !s.c.inTouch() {
+		if !s.c.inTouch() && !r.GetAnyAge() {
 			return nil, unavailable(errOutOfTouch)
 		}
 		document := s.c.machine.Register.Current()
@@ -187,13 +187,12 @@
 // Heartbeat renews an instance's entry in the roster.
 func (s *controlServer) Heartbeat(ctx context.Context, r *coltspb.HeartbeatRequest) (*coltspb.HeartbeatReply, error) {
 	leader, err := s.c.leaderOf(r.GetForwarded())
-	if err != nil {
-		return nil, err
-	}
-	if leader != nil {
+	if err == nil && leader != nil {
 		r.Forwarded = true
 		return leader.Heartbeat(ctx, r)
 	}
+	// Without a leader each instance keeps its own roster, so that entries can
+	// still find each other.
 	member := coltswire.DecodeMember(r.GetMember())
 	now := s.c.cfg.Now()
 	if r.GetLeaving() {
--- a/coltsentry/control_link.go
+++ b/coltsentry/control_link.go
@@ -108,18 +108,18 @@
 // instance or entry has.
 func (l *controlLink) follow(ctx context.Context) {
 	freshBy := l.e.cfg.Now().Add(freshTimeout)
-	fresh := true
+	ask := followFresh
 	failing := false
 	for ctx.Err() == nil {
 		i := l.current()
-		err := l.followOnce(ctx, l.clients[i], fresh)
+		err := l.followOnce(ctx, l.clients[i], ask)
 		if err == nil {
-			fresh, failing = false, false
+			ask, failing = followRecent, false
 			continue
 		}
-		if fresh && !l.e.cfg.Now().Before(freshBy) {
-			fresh = false
-			l.e.log.Warn("No quorum confirms the document; taking what others have.", nil)
+		if l.e.document().Revision == 0 && !l.e.cfg.Now().Before(freshBy) {
+			ask = followAnyAge
+			l.e.log.Warn("No quorum confirms the document; taking what any instance has.", nil)
 		}
 		if ctx.Err() == nil && !failing {
 			failing = true
@@ -131,13 +131,26 @@
 	}
 }
 
-func (l *controlLink) followOnce(ctx context.Context, client coltspbconnect.ControlClient, fresh bool) error {
+// followAsk says how sure an entry wants to be of a document.
+type followAsk int
+
+const (
+	// followFresh asks for one that a quorum confirms.
+	followFresh followAsk = iota
+	// followRecent asks an instance that is in touch with the group.
+	followRecent
+	// followAnyAge asks for whatever an instance has.
+	followAnyAge
+)
+
+func (l *controlLink) followOnce(ctx context.Context, client coltspbconnect.ControlClient, ask followAsk) error {
 	ctx, cancel := context.WithTimeout(ctx, followWait+callTimeout)
 	defer cancel()
 	reply, err := client.Follow(ctx, &coltspb.FollowRequest{
 		After:    uint64(l.e.document().Revision),
 		AnswerBy: coltswire.EncodeTime(l.e.cfg.Now().Add(followWait)),
-		Fresh:    fresh,
+		Fresh:    ask == followFresh,
+		AnyAge:   ask == followAnyAge,
 	})
 	if err != nil {
 		return err
--- a/coltsprocess/process_test.go
+++ b/coltsprocess/process_test.go
@@ -145,6 +145,13 @@
 	}
 }
 
+// replaceBy makes this process stand for another, started in its place.
+func (p *process) replaceBy(other *process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cmd, p.exited, p.started = other.cmd, other.exited, other.started
+}
+
 // kill ends the process at once, as kill -9 does.
 func (p *process) kill() {
 	_ = p.cmd.Process.Kill()
@@ -194,9 +201,11 @@
 	folder      string
 	control     *process
 	controlAddr netip.AddrPort
-	entries     []*process
-	runners     []*process
-	services    []*process
+	// controls lists the control instances as entries' settings name them.
+	controls string
+	entries  []*process
+	runners  []*process
+	services []*process
 }
 
 // startCluster starts control, entries, runners and one service.
@@ -206,20 +215,27 @@
 	document := filepath.Join(c.folder, "document.jsonc")
 	assert.NilError(t, os.WriteFile(document, []byte(coltssystem.Document()), 0o600))
 	c.startControl()
+	c.controls = fmt.Sprintf("%q", c.controlAddr)
 	for i := range entries {
 		c.startEntry(i)
 	}
+	c.startUpstreams(runners, runnerFlags...)
+	return c
+}
+
+// startUpstreams starts runners and one service.
+func (c *cluster) startUpstreams(runners int, runnerFlags ...string) {
+	c.t.Helper()
 	for i := range runners {
 		args := append([]string{
 			"runner", "--id", fmt.Sprintf("runner-%d", i+1), "--entries", c.upstreamAddrs(),
 			"--serving", coltssystem.ModelName + "@" + coltssystem.ModelVersion,
 		}, runnerFlags...)
-		c.runners = append(c.runners, start(t, "coltsstandin", args...))
+		c.runners = append(c.runners, start(c.t, "coltsstandin", args...))
 	}
-	c.services = append(c.services, start(t, "coltsstandin", "service", "--id", "service-1",
+	c.services = append(c.services, start(c.t, "coltsstandin", "service", "--id", "service-1",
 		"--entries", c.upstreamAddrs(), "--service", coltssystem.ServiceName, "--duration", "5ms"))
 	c.awaitUpstreams(runners + 1)
-	return c
 }
 
 // startControl starts the control instance, at its old address after a restart.
@@ -243,10 +259,10 @@
 		"entry": {
 			"caller-address": "127.0.0.1:0", "upstream-address": "127.0.0.1:0",
 			"peer-address": "127.0.0.1:0", "operator-address": "127.0.0.1:0",
-			"control-addresses": [%q],
+			"control-addresses": [%s],
 			"drain-notice": "100ms",
 		},
-	}`, i+1, coltssystem.DataCentreName, c.controlAddr))))
+	}`, i+1, coltssystem.DataCentreName, c.controls))))
 }
 
 func (c *cluster) upstreamAddrs() string {
