--- a/coltscaller/caller_client.go
+++ b/coltscaller/caller_client.go
@@ -89,6 +89,8 @@
 	Reason  string
 	// Upstream is the upstream that gave the first part.
 	Upstream string
+	// RequestID is the name that the entry gave the request.
+	RequestID string
 }
 
 // Refused says whether the request was refused or broke off.
@@ -135,6 +137,8 @@
 	reply := Reply{
 		Status:   resp.StatusCode(),
 		Upstream: string(resp.Header.Peek(coltscodec.HeaderUpstream)),
+		// The entry says it in refusals, too.
+		RequestID: string(resp.Header.Peek("X-Request-Id")),
 	}
 	if reply.Status != fasthttp.StatusOK {
 		return readRefusal(reply, resp)
--- a/coltsprocess/process_test.go
+++ b/coltsprocess/process_test.go
@@ -281,11 +281,17 @@
 // metric returns a metric of an entry.
 func (c *cluster) metric(i int, name string) float64 {
 	c.t.Helper()
-	text, _ := get(c.t, c.entries[i].addr(c.t, "operators"), "/debug/vars")
+	return metricOf(c.t, c.entries[i].addr(c.t, "operators"), name)
+}
+
+// metricOf returns a metric that an instance shows to operators.
+func metricOf(t testing.TB, operators netip.AddrPort, name string) float64 {
+	t.Helper()
+	text, _ := get(t, operators, "/debug/vars")
 	var values map[string]any
-	assert.NilError(c.t, json.Unmarshal([]byte(text), &values))
+	assert.NilError(t, json.Unmarshal([]byte(text), &values))
 	value, ok := values[name].(float64)
-	assert.Assert(c.t, ok, "there is no metric %s", name)
+	assert.Assert(t, ok, "there is no metric %s", name)
 	return value
 }
 
--- a/coltsstandin/runner.go
+++ b/coltsstandin/runner.go
@@ -61,6 +61,8 @@
 type activeRequests struct {
 	mu     sync.Mutex
 	cancel map[string]context.CancelFunc
+	// began holds every request that was begun.
+	began map[string]bool
 	// cancelled counts the requests that were cancelled before their end.
 	cancelled int
 }
@@ -69,6 +71,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.cancel[id] = cancel
+	a.began[id] = true
 }
 
 func (a *activeRequests) remove(id string) {
@@ -98,6 +101,7 @@
 	r.engine.prefillPerSecond = cfg.PrefillPerSecond
 	r.engine.faults = &r.faultSwitches
 	r.active.cancel = map[string]context.CancelFunc{}
+	r.active.began = map[string]bool{}
 	err := r.start(cfg.Config, r.serve, r.announcement)
 	if err != nil {
 		return nil, err
@@ -124,6 +128,13 @@
 	return r.engine.load().computed
 }
 
+// Began says whether the runner has begun a request.
+func (r *Runner) Began(id string) bool {
+	r.active.mu.Lock()
+	defer r.active.mu.Unlock()
+	return r.active.began[id]
+}
+
 // Cancelled returns how many requests were cancelled before their end.
 func (r *Runner) Cancelled() int {
 	return r.active.countCancelled()
--- a/coltsstandin/store.go
+++ b/coltsstandin/store.go
@@ -42,6 +42,7 @@
 type storeLink struct {
 	mu     sync.Mutex
 	freeAt time.Time
+	moved  int64
 }
 
 // reserve takes the next slot for a piece and returns when it ends.
@@ -53,6 +54,7 @@
 		l.freeAt = now
 	}
 	l.freeAt = l.freeAt.Add(span)
+	l.moved++
 	return l.freeAt
 }
 
@@ -75,6 +77,13 @@
 	return len(s.memory.elements)
 }
 
+// Moved returns how many pieces went over the link, both ways.
+func (s *Store) Moved() int64 {
+	s.link.mu.Lock()
+	defer s.link.mu.Unlock()
+	return s.link.moved
+}
+
 func (s *Store) serve(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	switch {
