Give runners fenced orders under the leader's lease, and swap versions by them.

Cause: runners could not be told to load a version, and a deposed holder's order had nothing to stop it. Change: coltsorder plans loads and unloads from the document, at most max-loading at once; the leader gives them under a lease that a quorum renews with each heartbeat, less a clock margin, with its term as the fencing number; a new leader waits until whatever an earlier one sent has ended; a restarted voter keeps its promise as if it had just given it. A swap is three reviewed changes: add, make current, drop.

--- a/coltscodec/upstream_message.go
+++ b/coltscodec/upstream_message.go
@@ -198,6 +198,15 @@
 	Exported int `json:"exported"`
 }
 
+// OrderRequest tells a runner to load or unload a version. A runner that checks
+// fencing numbers refuses one lower than the highest that it has seen.
+type OrderRequest struct {
+	Kind    string `json:"kind"`
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	Fence   uint64 `json:"fence"`
+}
+
 // PieceNames returns the names of pieces as they stand in messages.
 func PieceNames(pieces []coltscache.Piece) []string {
 	return convert(pieces, coltscache.Piece.String)
--- a/coltscontrol/control.go
+++ b/coltscontrol/control.go
@@ -129,6 +129,7 @@
 		c.loops.Go(func() { other.run(c.running) })
 	}
 	c.loops.Go(func() { c.bootstrap(c.running) })
+	c.loops.Go(func() { c.giveOrders(c.running) })
 	c.loops.Go(func() { c.beat(c.running) })
 	go c.serve(func() error { return c.server.Serve(c.listener) })
 	go c.serve(func() error { return c.operator.Serve(c.operators) })
--- a/coltscontrol/replica_driver.go
+++ b/coltscontrol/replica_driver.go
@@ -34,6 +34,8 @@
 	// heartbeatEvery and electionAfter are the replica's times.
 	heartbeatEvery = 100 * time.Millisecond
 	electionAfter  = 500 * time.Millisecond
+	// clockMargin is taken off a leader's lease for clocks that run apart.
+	clockMargin = 100 * time.Millisecond
 	// retainedEntries are kept in memory behind a snapshot, so that a replica
 	// that was away for a moment needs no snapshot.
 	retainedEntries = 1024
@@ -74,6 +76,10 @@
 	applied uint64
 	// inTouchUntil is until when the applied state counts as recent.
 	inTouchUntil time.Time
+	// leaseUntil is until when this instance alone can lead; it gives orders only
+	// within it. leadsSince is when its lead began.
+	leaseUntil time.Time
+	leadsSince time.Time
 	// broken says that the disk failed and the replica takes no more part.
 	broken        bool
 	configuration coltsreplica.Configuration
@@ -142,6 +148,7 @@
 		ID:             c.id(),
 		HeartbeatEvery: heartbeatEvery,
 		ElectionAfter:  electionAfter,
+		ClockMargin:    clockMargin,
 		Random:         rand.Int64N,
 		LoadSnapshot:   d.loadSnapshot,
 	}, restored, c.cfg.Now())
@@ -517,9 +524,15 @@
 		term:          d.replica.Term(),
 		applied:       d.applied,
 		inTouchUntil:  d.replica.InTouchUntil(now),
+		leaseUntil:    d.replica.LeaseUntil(),
 		configuration: d.replica.Configuration(),
 	}
-	before := d.view.Swap(v)
+	before := d.view.Load()
+	v.leadsSince = now
+	if before != nil && before.leads && v.leads && before.term == v.term {
+		v.leadsSince = before.leadsSince
+	}
+	d.view.Store(v)
 	if before != nil && before.leader != v.leader && v.leader != "" {
 		d.c.log.Info("A leader is known.", coltslog.Fields{"leader": v.leader, "term": v.term})
 	}
--- a/coltsentry/peer_link.go
+++ b/coltsentry/peer_link.go
@@ -168,6 +168,15 @@
 	return reply, nil
 }
 
+// Fleet lists the live upstreams that the entry knows.
+func (l *peerLink) Fleet(context.Context, *coltspb.FleetRequest) (*coltspb.FleetReply, error) {
+	reply := &coltspb.FleetReply{}
+	for _, c := range l.e.fleet.All(l.e.document(), l.e.cfg.Now()) {
+		reply.Announcements = append(reply.Announcements, coltswire.EncodeAnnouncement(c.Announcement))
+	}
+	return reply, nil
+}
+
 // Burn reports the counts of objectives.
 func (l *peerLink) Burn(context.Context, *coltspb.BurnRequest) (*coltspb.BurnReply, error) {
 	reply := &coltspb.BurnReply{}
--- a/coltsprocess/process_booking_test.go
+++ b/coltsprocess/process_booking_test.go
@@ -148,11 +148,7 @@
 // restartEntry starts a killed entry again, at another address.
 func (c *cluster) restartEntry(i int) {
 	c.t.Helper()
-	kept := c.entries
-	c.entries = nil
-	c.startEntry(i)
-	started := c.entries[0]
-	c.entries = kept
+	started := c.newEntry(i)
 	started.addr(c.t, "callers")
 	c.entries[i].replaceBy(started)
 }
--- a/coltsprocess/process_test.go
+++ b/coltsprocess/process_test.go
@@ -254,7 +254,13 @@
 
 func (c *cluster) startEntry(i int) {
 	c.t.Helper()
-	c.entries = append(c.entries, start(c.t, "coltsfootstall", "entry", "--settings", settingsFile(c.t, fmt.Sprintf(`{
+	c.entries = append(c.entries, c.newEntry(i))
+}
+
+// newEntry starts an entry of a name.
+func (c *cluster) newEntry(i int) *process {
+	c.t.Helper()
+	return start(c.t, "coltsfootstall", "entry", "--settings", settingsFile(c.t, fmt.Sprintf(`{
 		"instance": "entry-%d", "data-centre": %q, "log-json": true,
 		"entry": {
 			"caller-address": "127.0.0.1:0", "upstream-address": "127.0.0.1:0",
@@ -262,7 +268,7 @@
 			"control-addresses": [%s],
 			"drain-notice": "100ms",
 		},
-	}`, i+1, coltssystem.DataCentreName, c.controls))))
+	}`, i+1, coltssystem.DataCentreName, c.controls)))
 }
 
 func (c *cluster) upstreamAddrs() string {
--- a/coltsreplica/replica.go
+++ b/coltsreplica/replica.go
@@ -29,6 +29,8 @@
 	// ElectionAfter is the least time without a leader before an election; the
 	// time is up to twice as long, by chance.
 	ElectionAfter time.Duration
+	// ClockMargin is taken off a leader's lease for clocks that run apart.
+	ClockMargin time.Duration
 	// Random returns a number from 0 to n-1.
 	Random func(n int64) int64
 	// LoadSnapshot returns the newest snapshot that the driver has saved.
@@ -77,8 +79,18 @@
 	votes       map[ID]bool
 	followers   map[ID]*follower
 	round       uint64
-	reads       []pendingRead
-	out         Output
+	// beats are the rounds that no quorum has answered yet, the oldest first, and
+	// leadUntil is until when a quorum has promised to help nobody else.
+	beats     []sentBeat
+	leadUntil time.Time
+	reads     []pendingRead
+	out       Output
+}
+
+// sentBeat is when a round of heartbeats was sent.
+type sentBeat struct {
+	round  uint64
+	sentAt time.Time
 }
 
 // follower is what a leader knows of another replica.
@@ -139,6 +151,9 @@
 	n.handedOut = r.Snapshot.Index
 	n.followers = map[ID]*follower{}
 	n.resetElection(now)
+	// What this voter promised before a restart is forgotten, so it is kept as if
+	// it had been promised just now.
+	n.leaseUntil = now.Add(cfg.ElectionAfter)
 	if len(n.log.configuration.Voters) == 1 && n.log.configuration.IsVoter(cfg.ID) {
 		// Nobody else could lead, so there is nothing to wait for.
 		n.electionAt = now
@@ -158,6 +173,16 @@
 	return time.Time{}
 }
 
+// LeaseUntil returns until when this replica alone can be leader, the margin for
+// clocks taken off; the zero time if it does not lead. A quorum that answered a
+// heartbeat helps no other candidate for ElectionAfter from then on.
+func (n *Replica) LeaseUntil() time.Time {
+	if n.role != RoleLeader {
+		return time.Time{}
+	}
+	return n.leadUntil
+}
+
 // Leader returns who leads; empty if that is not known.
 func (n *Replica) Leader() ID { return n.leader }
 
@@ -292,6 +317,8 @@
 	n.followers = map[ID]*follower{}
 	n.electionAt = now.Add(n.cfg.ElectionAfter)
 	n.reads = nil
+	n.beats = nil
+	n.leadUntil = time.Time{}
 	n.appendOwn(Entry{Kind: EntryBarrier})
 	n.syncFollowers()
 	n.beat(now)
--- a/coltsreplica/replica_lead.go
+++ b/coltsreplica/replica_lead.go
@@ -13,6 +13,7 @@
 func (n *Replica) beat(now time.Time) {
 	n.heartbeatAt = now.Add(n.cfg.HeartbeatEvery)
 	n.round++
+	n.beats = append(n.beats, sentBeat{round: n.round, sentAt: now})
 	for id, f := range n.sorted() {
 		n.send(Message{
 			Kind:   MessageHeartbeat,
@@ -225,6 +226,7 @@
 	}
 	slices.Sort(rounds)
 	confirmed := rounds[len(rounds)-n.log.configuration.quorum()]
+	n.extendLease(confirmed)
 	kept := n.reads[:0]
 	for _, r := range n.reads {
 		if r.round <= confirmed {
@@ -236,6 +238,14 @@
 	n.reads = kept
 }
 
+// extendLease takes in that a quorum has answered a round.
+func (n *Replica) extendLease(confirmed uint64) {
+	for len(n.beats) > 0 && n.beats[0].round <= confirmed {
+		n.leadUntil = n.beats[0].sentAt.Add(n.cfg.ElectionAfter - n.cfg.ClockMargin)
+		n.beats = n.beats[1:]
+	}
+}
+
 // failReads hands out all reads as failed.
 func (n *Replica) failReads() {
 	for _, r := range n.reads {
--- a/coltsreplica/replica_simulation_test.go
+++ b/coltsreplica/replica_simulation_test.go
@@ -126,6 +126,7 @@
 		ID:             m.id,
 		HeartbeatEvery: simHeartbeat,
 		ElectionAfter:  simElection,
+		ClockMargin:    simHeartbeat,
 		Random:         s.rng.Int64N,
 		LoadSnapshot:   func() Snapshot { return m.disk.snapshot },
 	}, Restored{HardState: m.disk.hard, Snapshot: m.disk.snapshot, Entries: slices.Clone(m.disk.entries)}, s.now)
@@ -327,6 +328,18 @@
 		assert.Assert(s.t, !known || leader == m.id, "term %d has leaders %s and %s", m.replica.Term(), leader, m.id)
 		s.leaders[m.replica.Term()] = m.id
 	}
+	s.checkLeases()
+}
+
+// checkLeases asserts that at most one member holds a lease.
+func (s *simulation) checkLeases() {
+	holders := 0
+	for _, m := range s.members {
+		if !m.down && s.now.Before(m.replica.LeaseUntil()) {
+			holders++
+		}
+	}
+	assert.Assert(s.t, holders <= 1, "%d members hold a lease", holders)
 }
 
 // assertCommittedKept asserts that no committed entry is missing from the members
--- a/coltssettings/settings.go
+++ b/coltssettings/settings.go
@@ -49,6 +49,7 @@
 	InitialDocument string         `json:"initial-document" unit:"path" usage:"document to begin with when the state is empty; empty for none"`
 	SegmentBytes    int            `json:"segment-bytes" unit:"bytes" min:"4096" usage:"size at which a new segment of the journal is begun"`
 	SnapshotEvery   int            `json:"snapshot-every" unit:"commands" min:"1" usage:"commands after which the state is written as a snapshot"`
+	MaxLoading      int            `json:"max-loading" unit:"runners" min:"1" usage:"runners that are told to load weights at once"`
 	Replicas        []Replica      `json:"replicas" unit:"instances" usage:"every control instance of the group: instance, address, and joins for one that is added to a running group; empty for a group of one"`
 }
 
@@ -90,6 +91,7 @@
 			DataFolder:    "data",
 			SegmentBytes:  64 << 20,
 			SnapshotEvery: 10_000,
+			MaxLoading:    3,
 		},
 	}
 }
--- a/coltsstandin/runner.go
+++ b/coltsstandin/runner.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -42,6 +43,10 @@
 	PrefillPerSecond int64
 	// TokenPeriod is the time between two tokens of an answer.
 	TokenPeriod time.Duration
+	// LoadTime is how long new weights take.
+	LoadTime time.Duration
+	// ChecksFencing says that an order with an old fencing number is refused.
+	ChecksFencing bool
 	// MemoryPieces is how many pieces the accelerator's memory holds.
 	MemoryPieces int
 }
@@ -53,6 +58,7 @@
 	runner RunnerConfig
 	memory *pieceMemory
 	engine engine
+	loaded loadedVersions
 	events eventQueue
 	active activeRequests
 }
@@ -98,6 +104,7 @@
 // StartRunner starts a runner.
 func StartRunner(cfg RunnerConfig) (*Runner, error) {
 	r := &Runner{runner: cfg, memory: newPieceMemory(cfg.MemoryPieces)}
+	r.loaded.serving = cfg.Serving
 	r.engine.prefillPerSecond = cfg.PrefillPerSecond
 	r.engine.faults = &r.faultSwitches
 	r.active.cancel = map[string]context.CancelFunc{}
@@ -112,7 +119,8 @@
 
 func (r *Runner) announcement() coltsfleet.Announcement {
 	a := announcementOf(coltsdocument.KindRunner)
-	a.Serving = r.runner.Serving
+	a.Serving = r.loaded.list()
+	a.ChecksFencing = r.runner.ChecksFencing
 	l := r.engine.load()
 	a.Load = coltsfleet.Load{
 		Running:          l.running,
@@ -156,6 +164,10 @@
 		r.active.end(string(ctx.Request.Header.Peek(coltscodec.HeaderRequest)))
 	case coltscodec.PathExport:
 		r.serveExport(ctx)
+	case coltscodec.PathOrder:
+		r.serveOrder(ctx)
+	case PathServing:
+		writeJSON(ctx, r.Serving())
 	case PathFaults:
 		serveFaults(ctx, &r.faultSwitches)
 	default:
@@ -212,12 +224,7 @@
 }
 
 func (r *Runner) serves(model coltsidentity.Model, version string) bool {
-	for _, s := range r.runner.Serving {
-		if s.Model == model && string(s.Version) == version {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(r.loaded.list(), coltsfleet.Serving{Model: model, Version: coltsidentity.Version(version)})
 }
 
 func newJob(ctx *fasthttp.RequestCtx, prompt coltscodec.PromptRequest, faults Faults) job {
--- a/coltsstandin/standin_command.go
+++ b/coltsstandin/standin_command.go
@@ -22,11 +22,12 @@
 	"coltsfootstall/coltsidentity"
 )
 
-// PathFaults is where faults are switched, and PathRuns where a service says how
-// often it ran each key.
+// Paths that only stand-ins have: to switch faults, and to see what a service has
+// run and what a runner has loaded.
 const (
-	PathFaults = "/standin/faults"
-	PathRuns   = "/standin/runs"
+	PathFaults  = "/standin/faults"
+	PathRuns    = "/standin/runs"
+	PathServing = "/standin/serving"
 )
 
 // standin is what every kind can do.
@@ -103,6 +104,8 @@
 			&cli.StringFlag{Name: "serving", Usage: "`MODEL@VERSION` pairs, separated by commas", Required: true},
 			&cli.Int64Flag{Name: "prefill-per-second", Usage: "prompt `TOKENS` a second", Value: 20_000},
 			&cli.DurationFlag{Name: "token-period", Usage: "`SPAN` between two tokens", Value: 20 * time.Millisecond},
+			&cli.DurationFlag{Name: "load-time", Usage: "`SPAN` that new weights take", Value: 300 * time.Millisecond},
+			&cli.BoolFlag{Name: "checks-fencing", Usage: "refuse orders with an old fencing number"},
 			&cli.IntFlag{Name: "memory-pieces", Usage: "`PIECES` that the memory holds", Value: 500},
 		),
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -115,6 +118,8 @@
 				Serving:          parseServing(c.String("serving")),
 				PrefillPerSecond: c.Int64("prefill-per-second"),
 				TokenPeriod:      c.Duration("token-period"),
+				LoadTime:         c.Duration("load-time"),
+				ChecksFencing:    c.Bool("checks-fencing"),
 				MemoryPieces:     c.Int("memory-pieces"),
 			})
 			if err != nil {
--- a/coltsstructure/structure_test.go
+++ b/coltsstructure/structure_test.go
@@ -22,7 +22,7 @@
 // decisionPackages are those that decide.
 var decisionPackages = []string{
 	"coltsattempt", "coltsbooking", "coltscache", "coltsdocument", "coltsfleet", "coltsidentity",
-	"coltsmembership", "coltsobjective", "coltsorganisation", "coltsrequest", "coltsrouting",
+	"coltsmembership", "coltsobjective", "coltsorder", "coltsorganisation", "coltsreplica", "coltsrequest", "coltsrouting",
 	"coltsshard", "coltsstate", "coltsusage",
 }
 
--- a/coltsupstream/upstream_orders.go
+++ b/coltsupstream/upstream_orders.go
@@ -15,6 +15,7 @@
 	"coltsfootstall/coltscache"
 	"coltsfootstall/coltscodec"
 	"coltsfootstall/coltsidentity"
+	"coltsfootstall/coltsorder"
 )
 
 // statusOK is the status of an answer that can be used.
@@ -73,6 +74,17 @@
 	return nil
 }
 
+// Order gives an order to a runner.
+func (c *Client) Order(ctx context.Context, o coltsorder.Order) error {
+	var reply struct{}
+	return c.exchangeJSON(ctx, o.Addr, coltscodec.PathOrder, coltscodec.OrderRequest{
+		Kind:    string(o.Kind),
+		Model:   string(o.Serving.Model),
+		Version: string(o.Serving.Version),
+		Fence:   uint64(o.Fence),
+	}, &reply, o.Deadline)
+}
+
 // exchangeJSON sends one message and reads one. The upstream need not send a
 // heartbeat meanwhile.
 func (c *Client) exchangeJSON(
--- a/coltswire/coltspb/coltspbconnect/colts.connect.go
+++ b/coltswire/coltspb/coltspbconnect/colts.connect.go
@@ -62,6 +62,8 @@
 	ReplicaDeliverProcedure = "/colts.v1.Replica/Deliver"
 	// PeerShareProcedure is the fully-qualified name of the Peer's Share RPC.
 	PeerShareProcedure = "/colts.v1.Peer/Share"
+	// PeerFleetProcedure is the fully-qualified name of the Peer's Fleet RPC.
+	PeerFleetProcedure = "/colts.v1.Peer/Fleet"
 	// PeerBurnProcedure is the fully-qualified name of the Peer's Burn RPC.
 	PeerBurnProcedure = "/colts.v1.Peer/Burn"
 	// PeerSuspectsProcedure is the fully-qualified name of the Peer's Suspects RPC.
@@ -480,6 +482,8 @@
 type PeerClient interface {
 	// Share passes on announcements and cache events.
 	Share(context.Context, *coltspb.ShareRequest) (*coltspb.ShareReply, error)
+	// Fleet lists the live upstreams that an entry knows.
+	Fleet(context.Context, *coltspb.FleetRequest) (*coltspb.FleetReply, error)
 	// Burn reports the counts behind the burn report.
 	Burn(context.Context, *coltspb.BurnRequest) (*coltspb.BurnReply, error)
 	// Suspects lists the requests that crash upstreams; it can release one.
@@ -503,6 +507,12 @@
 			connect.WithSchema(peerMethods.ByName("Share")),
 			connect.WithClientOptions(opts...),
 		),
+		fleet: connect.NewClient[coltspb.FleetRequest, coltspb.FleetReply](
+			httpClient,
+			baseURL+PeerFleetProcedure,
+			connect.WithSchema(peerMethods.ByName("Fleet")),
+			connect.WithClientOptions(opts...),
+		),
 		burn: connect.NewClient[coltspb.BurnRequest, coltspb.BurnReply](
 			httpClient,
 			baseURL+PeerBurnProcedure,
@@ -521,6 +531,7 @@
 // peerClient implements PeerClient.
 type peerClient struct {
 	share    *connect.Client[coltspb.ShareRequest, coltspb.ShareReply]
+	fleet    *connect.Client[coltspb.FleetRequest, coltspb.FleetReply]
 	burn     *connect.Client[coltspb.BurnRequest, coltspb.BurnReply]
 	suspects *connect.Client[coltspb.SuspectsRequest, coltspb.SuspectsReply]
 }
@@ -534,6 +545,15 @@
 	return nil, err
 }
 
+// Fleet calls colts.v1.Peer.Fleet.
+func (c *peerClient) Fleet(ctx context.Context, req *coltspb.FleetRequest) (*coltspb.FleetReply, error) {
+	response, err := c.fleet.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // Burn calls colts.v1.Peer.Burn.
 func (c *peerClient) Burn(ctx context.Context, req *coltspb.BurnRequest) (*coltspb.BurnReply, error) {
 	response, err := c.burn.CallUnary(ctx, connect.NewRequest(req))
@@ -556,6 +576,8 @@
 type PeerHandler interface {
 	// Share passes on announcements and cache events.
 	Share(context.Context, *coltspb.ShareRequest) (*coltspb.ShareReply, error)
+	// Fleet lists the live upstreams that an entry knows.
+	Fleet(context.Context, *coltspb.FleetRequest) (*coltspb.FleetReply, error)
 	// Burn reports the counts behind the burn report.
 	Burn(context.Context, *coltspb.BurnRequest) (*coltspb.BurnReply, error)
 	// Suspects lists the requests that crash upstreams; it can release one.
@@ -575,6 +597,12 @@
 		connect.WithSchema(peerMethods.ByName("Share")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerFleetHandler := connect.NewUnaryHandlerSimple(
+		PeerFleetProcedure,
+		svc.Fleet,
+		connect.WithSchema(peerMethods.ByName("Fleet")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerBurnHandler := connect.NewUnaryHandlerSimple(
 		PeerBurnProcedure,
 		svc.Burn,
@@ -591,6 +619,8 @@
 		switch r.URL.Path {
 		case PeerShareProcedure:
 			peerShareHandler.ServeHTTP(w, r)
+		case PeerFleetProcedure:
+			peerFleetHandler.ServeHTTP(w, r)
 		case PeerBurnProcedure:
 			peerBurnHandler.ServeHTTP(w, r)
 		case PeerSuspectsProcedure:
@@ -608,6 +638,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("colts.v1.Peer.Share is not implemented"))
 }
 
+func (UnimplementedPeerHandler) Fleet(context.Context, *coltspb.FleetRequest) (*coltspb.FleetReply, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("colts.v1.Peer.Fleet is not implemented"))
+}
+
 func (UnimplementedPeerHandler) Burn(context.Context, *coltspb.BurnRequest) (*coltspb.BurnReply, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("colts.v1.Peer.Burn is not implemented"))
 }
