Measure the group; keep test processes from outliving their test.

Cause: a run of 1200 bookings said 468 had run that the press had not: processes of a test that had died were still there, and their press had announced itself to addresses that the run had been given anew. Ruled out: a double grant or a crossed answer; each of the 468 had run once, at the other press, and the ledger had one record of each. Change: test processes die with their test, and entries keep their addresses over a restart, as instances of the platform do. Heartbeats between control instances every 200 ms in place of 100.

--- a/coltscontrol/control_server.go
+++ b/coltscontrol/control_server.go
@@ -25,7 +25,7 @@
 	submitTimeout = 10 * time.Second
 	// recheckPeriod is how often a wait looks for instances that fell silent,
 	// which no message announces.
-	recheckPeriod = 250 * time.Millisecond
+	recheckPeriod = 500 * time.Millisecond
 	// maxHistory bounds a listing of changes.
 	maxHistory = 1000
 )
--- a/coltscontrol/replica_driver.go
+++ b/coltscontrol/replica_driver.go
@@ -32,8 +32,8 @@
 	// incomingLength bounds the deliveries that wait.
 	incomingLength = 1024
 	// heartbeatEvery and electionAfter are the replica's times.
-	heartbeatEvery = 100 * time.Millisecond
-	electionAfter  = 500 * time.Millisecond
+	heartbeatEvery = 200 * time.Millisecond
+	electionAfter  = 900 * time.Millisecond
 	// clockMargin is taken off a leader's lease for clocks that run apart.
 	clockMargin = 100 * time.Millisecond
 	// retainedEntries are kept in memory behind a snapshot, so that a replica
--- a/coltsload/load_result.go
+++ b/coltsload/load_result.go
@@ -136,6 +136,15 @@
 	}
 }
 
+// warm takes in what the system has computed before anything is reported.
+func (r *Result) warm(system *coltssystem.System) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range system.Entries {
+		r.computed -= e.Metrics().Get(coltsmetric.TokensComputed)
+	}
+}
+
 // finish takes in what the system itself has counted.
 func (r *Result) finish(system *coltssystem.System, took time.Duration) {
 	r.mu.Lock()
@@ -146,10 +155,8 @@
 			r.runnersLost++
 		}
 	}
-	var reused int64
 	for _, e := range system.Entries {
 		r.computed += e.Metrics().Get(coltsmetric.TokensComputed)
-		reused += e.Metrics().Get(coltsmetric.TokensReused)
 		r.retries += e.Metrics().Get(coltsmetric.Retries)
 		r.attempts += e.Metrics().Get(coltsmetric.Attempts)
 	}
--- a/coltsload/load_run.go
+++ b/coltsload/load_run.go
@@ -137,6 +137,11 @@
 	for _, f := range r.scenario.Faults {
 		faults.Go(func() { f.schedule(r.system, r.start, stop) })
 	}
+	faults.Go(func() {
+		if sleepUntil(r.start.Add(r.scenario.WarmUp), stop) {
+			r.result.warm(r.system)
+		}
+	})
 	r.arrive()
 	r.requests.Wait()
 	close(stop)
--- a/coltsprocess/process_booking_test.go
+++ b/coltsprocess/process_booking_test.go
@@ -145,7 +145,7 @@
 	}
 }
 
-// restartEntry starts a killed entry again, at another address.
+// restartEntry starts a killed entry again.
 func (c *cluster) restartEntry(i int) {
 	c.t.Helper()
 	started := c.newEntry(i)
--- a/coltsprocess/process_group_test.go
+++ b/coltsprocess/process_group_test.go
@@ -25,6 +25,7 @@
 // group is a group of control instances.
 type group struct {
 	t        testing.TB
+	net      uint32
 	folder   string
 	addrs    []netip.AddrPort
 	controls []*process
@@ -43,16 +44,14 @@
 func startGroup(t testing.TB, initial, size int) *group {
 	t.Helper()
 	g := &group{
-		t: t, folder: t.TempDir(), initial: initial,
+		t: t, net: subnet.Add(1), folder: t.TempDir(), initial: initial,
 		links: map[[2]int]*coltsproxy.Proxy{}, snapshotEvery: 100,
 		controls: make([]*process, size),
 	}
 	document := filepath.Join(g.folder, "document.jsonc")
 	assert.NilError(t, os.WriteFile(document, []byte(coltssystem.Document()), 0o600))
-	net := subnet.Add(1)
 	for i := range size {
-		addr := netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()%250), byte(net), byte(i + 1)})
-		g.addrs = append(g.addrs, netip.AddrPortFrom(addr, 8090))
+		g.addrs = append(g.addrs, netip.AddrPortFrom(loopback(g.net, byte(i+1)), 8090))
 		g.entrance = append(g.entrance, g.proxy(i))
 	}
 	for i := range size {
@@ -201,7 +200,7 @@
 // startEntries starts entries, runners and a service before a group.
 func (g *group) startEntries(entries, runners int) *cluster {
 	g.t.Helper()
-	c := &cluster{t: g.t, folder: g.folder}
+	c := &cluster{t: g.t, net: g.net, folder: g.folder}
 	var controls []string
 	for _, p := range g.entrance {
 		controls = append(controls, fmt.Sprintf("%q", p.Addr()))
--- a/coltsprocess/process_test.go
+++ b/coltsprocess/process_test.go
@@ -72,6 +72,9 @@
 func start(t testing.TB, program string, args ...string) *process {
 	t.Helper()
 	p := &process{cmd: exec.Command(filepath.Join(programs, program), args...), exited: make(chan struct{})}
+	// A process must not outlive a test that dies: it would go on announcing
+	// itself to addresses that another test then uses.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	stderr, err := p.cmd.StderrPipe()
 	assert.NilError(t, err)
 	stdout, err := p.cmd.StdoutPipe()
@@ -198,6 +201,7 @@
 // cluster is a small system of processes.
 type cluster struct {
 	t           testing.TB
+	net         uint32
 	folder      string
 	control     *process
 	controlAddr netip.AddrPort
@@ -211,7 +215,7 @@
 // startCluster starts control, entries, runners and one service.
 func startCluster(t testing.TB, entries, runners int, runnerFlags ...string) *cluster {
 	t.Helper()
-	c := &cluster{t: t, folder: t.TempDir(), controlAddr: coltssystem.Loopback}
+	c := &cluster{t: t, net: subnet.Add(1), folder: t.TempDir(), controlAddr: coltssystem.Loopback}
 	document := filepath.Join(c.folder, "document.jsonc")
 	assert.NilError(t, os.WriteFile(document, []byte(coltssystem.Document()), 0o600))
 	c.startControl()
@@ -257,18 +261,28 @@
 	c.entries = append(c.entries, c.newEntry(i))
 }
 
-// newEntry starts an entry of a name.
+// firstEntry is the last byte of the first entry's address.
+const firstEntry = 100
+
+// loopback returns an address in a network that no other test uses.
+func loopback(net uint32, last byte) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()%250), byte(net), last})
+}
+
+// newEntry starts an entry of a name. It has the same addresses each time, as an
+// instance of the platform has, so that upstreams find it again.
 func (c *cluster) newEntry(i int) *process {
 	c.t.Helper()
+	ip := loopback(c.net, byte(firstEntry+i))
 	return start(c.t, "coltsfootstall", "entry", "--settings", settingsFile(c.t, fmt.Sprintf(`{
 		"instance": "entry-%d", "data-centre": %q, "log-json": true,
 		"entry": {
-			"caller-address": "127.0.0.1:0", "upstream-address": "127.0.0.1:0",
-			"peer-address": "127.0.0.1:0", "operator-address": "127.0.0.1:0",
-			"control-addresses": [%s],
+			"caller-address": "%[3]s:8080", "upstream-address": "%[3]s:8081",
+			"peer-address": "%[3]s:8082", "operator-address": "%[3]s:8083",
+			"control-addresses": [%[4]s],
 			"drain-notice": "100ms",
 		},
-	}`, i+1, coltssystem.DataCentreName, c.controls)))
+	}`, i+1, coltssystem.DataCentreName, ip, c.controls)))
 }
 
 func (c *cluster) upstreamAddrs() string {
