Keep long work off most runners, and seek overdue first tokens elsewhere.

Cause: short prompts waited behind long ones that another entry had sent, which no entry can see in time; runners slowed by a neighbour kept their reported rate, so work went on going to them until their prefills ended ten times later. Change: prompts of 32,000 tokens to compute or more may take a third of the runners, the same ones by hash in every entry, and short work stays off those while there was long work within a minute; a prefill under way that is overdue lowers its runner's rate at once; runners say with each answer what waits before it; a first token that has taken three times what was expected is sought elsewhere once, paid for like a retry and never charged.

--- a/coltscodec/upstream_message.go
+++ b/coltscodec/upstream_message.go
@@ -38,6 +38,7 @@
 	HeaderVersion    = "Colts-Version"
 	HeaderRestore    = "Colts-Restore"
 	HeaderResumeAt   = "Colts-Resume-At"
+	HeaderQueued     = "Colts-Queued"
 	HeaderOutcome    = "Colts-Outcome"
 	HeaderCrossed    = "Colts-Crossed"
 	HeaderUpstream   = "Colts-Upstream"
--- a/coltsentry/caller_prompt.go
+++ b/coltsentry/caller_prompt.go
@@ -8,6 +8,7 @@
 	"context"
 	"io"
 	"slices"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -127,36 +128,48 @@
 		if refusal != nil {
 			return refusal
 		}
-		event, failure := b.d.firstPart()
-		if failure == nil {
-			b.buffer = append(b.buffer, event...)
+		part, next, failure := b.d.firstPart()
+		switch {
+		case failure != nil:
+			b.d.closeStream()
+			action = b.d.fail(failure)
+		case part == nil:
+			action = next
+		default:
+			b.buffer = append(b.buffer, part...)
 			b.pending = b.buffer
 			return nil
 		}
-		b.d.closeStream()
-		action = b.d.fail(failure)
 	}
 }
 
-// firstPart waits for the first part of the answer and returns it.
-func (d *promptDriver) firstPart() ([]byte, *coltsupstream.Failure) {
+// firstPart waits for the first part of the answer and returns it, or the action
+// that takes the place of an attempt that is overdue.
+func (d *promptDriver) firstPart() ([]byte, coltsrequest.Action, *coltsupstream.Failure) {
 	for {
-		event, failure := d.stream.Next()
+		event, failure := d.stream.NextBy(d.dispatch.OverdueAt)
 		if failure != nil {
-			return nil, failure
+			return nil, coltsrequest.Action{}, failure
 		}
 		switch event.Kind {
+		case coltsupstream.EventOverdue:
+			d.dispatch.OverdueAt = time.Time{}
+			if next, move := d.life.Overdue(d.e.cfg.Now()); move {
+				d.closeStream()
+				return nil, next, nil
+			}
 		case coltsupstream.EventPrefill:
+			d.dispatch.OverdueAt = time.Time{}
 			d.life.Prefilled(event.Prefill, d.e.cfg.Now())
 		case coltsupstream.EventPart:
 			d.life.Prefilled(coltsrequest.Prefill{}, d.e.cfg.Now())
 			d.life.Progressed(1)
-			return event.Part, nil
+			return event.Part, coltsrequest.Action{}, nil
 		case coltsupstream.EventUsage:
 			d.generated = event.Generated
 		case coltsupstream.EventEnd:
 			d.finish()
-			return []byte("data: [DONE]\n\n"), nil
+			return []byte("data: [DONE]\n\n"), coltsrequest.Action{}, nil
 		}
 	}
 }
--- a/coltsentry/entry.go
+++ b/coltsentry/entry.go
@@ -140,6 +140,7 @@
 		Quarantine:  e.quarantine,
 		Policy:      policy,
 		MaxAttempts: e.settings.MaxAttempts,
+		MaxQueue:    e.settings.MaxQueue,
 		KeepCache:   e.settings.KeepCache,
 		Observe:     e.observeFirstToken,
 	})
--- a/coltsentry/prompt_driver.go
+++ b/coltsentry/prompt_driver.go
@@ -81,6 +81,9 @@
 		return failure
 	}
 	d.stream = stream
+	if queued, said := stream.Queued(); said {
+		d.life.Taken(queued, d.e.cfg.Now())
+	}
 	return nil
 }
 
--- a/coltsfleet/fleet.go
+++ b/coltsfleet/fleet.go
@@ -81,6 +81,9 @@
 		u.changed = f.changes.next()
 		u.spreadAgainAt = now.Add(spreadPeriod)
 	}
+	if a.Load.QueuedTokens > 0 || now.Sub(u.queueAt) > announceTimeout {
+		u.queue, u.queueAt = a.Load.QueuedTokens, now
+	}
 	u.announcement = a
 	u.aliveUntil = now.Add(announceTimeout)
 	return true, nil
@@ -166,26 +169,36 @@
 	return f.Select(func(Announcement) bool { return true }, d, now)
 }
 
-// Dispatched counts a request that this entry sends to an upstream.
-func (f *Fleet) Dispatched(id coltsidentity.Upstream, tokens int64) {
+// Dispatched counts a request that this entry sends to an upstream, with the
+// tokens that are expected to be computed for it; 0 if none are.
+func (f *Fleet) Dispatched(id coltsidentity.Upstream, tokens int64, now time.Time) {
 	f.with(id, func(u *upstream) {
 		u.underWay++
-		u.queuedTokens += tokens
+		if tokens > 0 {
+			u.queuedTokens += tokens
+			u.begun = append(u.begun, now)
+		}
 	})
 }
 
-// FirstToken takes in that a prefill ended. tokens is what Dispatched was told,
-// computed what the upstream had to compute, took the time since the dispatch.
-func (f *Fleet) FirstToken(id coltsidentity.Upstream, tokens, computed int64, took time.Duration) {
+// Queued takes in how many tokens an upstream said were waiting before a request
+// when it took it in.
+func (f *Fleet) Queued(id coltsidentity.Upstream, tokens int64, now time.Time) {
+	f.with(id, func(u *upstream) { u.queue, u.queueAt = tokens, now })
+}
+
+// FirstToken takes in that a prefill ended which was sent at a time. tokens is
+// what Dispatched was told, computed what the upstream had to compute.
+func (f *Fleet) FirstToken(id coltsidentity.Upstream, tokens, computed int64, sentAt, now time.Time) {
 	f.with(id, func(u *upstream) {
-		u.dequeue(tokens)
-		u.observe(computed, took)
+		u.dequeue(tokens, sentAt)
+		u.observe(computed, now.Sub(sentAt))
 	})
 }
 
 // Returned takes back the tokens of a dispatch that gave no first token.
-func (f *Fleet) Returned(id coltsidentity.Upstream, tokens int64) {
-	f.with(id, func(u *upstream) { u.dequeue(tokens) })
+func (f *Fleet) Returned(id coltsidentity.Upstream, tokens int64, sentAt time.Time) {
+	f.with(id, func(u *upstream) { u.dequeue(tokens, sentAt) })
 }
 
 // Succeeded counts the good end of a request.
--- a/coltsfleet/fleet_test.go
+++ b/coltsfleet/fleet_test.go
@@ -101,7 +101,7 @@
 func TestEjection(t *testing.T) {
 	fail := func(f *Fleet, id coltsidentity.Upstream) {
 		for range ejectAfterFailures {
-			f.Dispatched(id, 0)
+			f.Dispatched(id, 0, start)
 			f.Failed(id, start)
 		}
 	}
@@ -142,7 +142,7 @@
 	})
 	t.Run("a restarted one starts anew", func(t *testing.T) {
 		f := fleet(t, 9)
-		f.Dispatched("r0", 100)
+		f.Dispatched("r0", 100, start)
 		again := runner("r0", 1)
 		again.Incarnation = start.Add(time.Second)
 		announce(t, f, again, start)
@@ -150,3 +150,32 @@
 		assert.Equal(t, f.All(rules(), start)[0].UnderWay, 0)
 	})
 }
+
+func TestRates(t *testing.T) {
+	one := func(t *testing.T) *Fleet {
+		t.Helper()
+		f := New()
+		announce(t, f, runner("r0", 1), start)
+		return f
+	}
+	rate := func(f *Fleet, now time.Time) int64 { return f.All(rules(), now)[0].PrefillPerSecond }
+	t.Run("a prefill that is overdue lowers the rate before it ends", func(t *testing.T) {
+		f := one(t)
+		before := rate(f, start)
+		f.Dispatched("r0", before, start)
+		assert.Equal(t, rate(f, start.Add(time.Second)), before)
+		assert.Equal(t, rate(f, start.Add(5*time.Second)), before/5)
+	})
+	t.Run("and its end restores what was seen", func(t *testing.T) {
+		f := one(t)
+		f.Dispatched("r0", 1000, start)
+		f.Returned("r0", 1000, start)
+		assert.Equal(t, rate(f, start.Add(5*time.Second)), int64(defaultPrefillPerSecond))
+	})
+	t.Run("a reported queue drains at the rate", func(t *testing.T) {
+		f := one(t)
+		f.Queued("r0", 2*defaultPrefillPerSecond, start)
+		assert.Equal(t, f.All(rules(), start.Add(time.Second))[0].QueuedTokens, int64(defaultPrefillPerSecond))
+		assert.Equal(t, f.All(rules(), start.Add(3*time.Second))[0].QueuedTokens, int64(0))
+	})
+}
--- a/coltsfleet/upstream.go
+++ b/coltsfleet/upstream.go
@@ -19,6 +19,8 @@
 	// on, as a sign of life. A load report alone is not worth a message to every
 	// entry: it is old when it arrives, and each entry sees its own timings.
 	spreadPeriod = 3 * time.Second
+	// overdueSlack is by how much a prefill may be late before it says something.
+	overdueSlack = 200 * time.Millisecond
 	// ejectAfterFailures is the number of failures in a row that ejects.
 	ejectAfterFailures = 3
 	// ejectionPeriod is how long an ejected upstream gets no work; it doubles
@@ -41,6 +43,12 @@
 	// underWay and queuedTokens count this entry's own dispatches.
 	underWay     int
 	queuedTokens int64
+	// begun holds when each prefill under way was sent, the oldest first.
+	begun []time.Time
+	// queue is what the upstream said was waiting when it took a request, and
+	// queueAt when that was.
+	queue   int64
+	queueAt time.Time
 	// prefillPerSecond is the rate seen by this entry; 0 until one was seen.
 	prefillPerSecond int64
 	failures         int
@@ -69,11 +77,12 @@
 
 func (u *upstream) candidate(d coltsdocument.Document, now time.Time) Candidate {
 	a := u.announcement
+	rate := u.rateNow(now)
 	return Candidate{
 		Announcement:     a,
 		UnderWay:         u.underWay,
-		QueuedTokens:     max(u.queuedTokens, a.Load.QueuedTokens),
-		PrefillPerSecond: u.rate(),
+		QueuedTokens:     max(u.queuedTokens, u.queueNow(rate, now)),
+		PrefillPerSecond: rate,
 		Ejected:          now.Before(u.ejectedUntil),
 		Draining:         a.Leaving || d.IsDraining(a.ID),
 	}
@@ -88,6 +97,30 @@
 		!slices.Equal(a.Serving, known.Serving)
 }
 
+// queueNow returns what is left of the queue that the upstream has reported, at a
+// rate in tokens a second.
+func (u *upstream) queueNow(rate int64, now time.Time) int64 {
+	done := int64(now.Sub(u.queueAt).Seconds() * float64(rate))
+	return max(0, u.queue-done)
+}
+
+// rateNow returns the rate that the prefills under way allow for: one that is
+// overdue shows that the upstream has become slower, long before it ends or the
+// upstream reports it.
+func (u *upstream) rateNow(now time.Time) int64 {
+	rate := u.rate()
+	if len(u.begun) == 0 || u.queuedTokens == 0 {
+		return rate
+	}
+	age := now.Sub(u.begun[0])
+	waiting := max(u.queuedTokens, u.queue)
+	expected := time.Duration(float64(waiting) / float64(rate) * float64(time.Second))
+	if age <= expected+overdueSlack {
+		return rate
+	}
+	return max(1, int64(float64(waiting)/age.Seconds()))
+}
+
 // rate returns the best estimate of the prefill rate.
 func (u *upstream) rate() int64 {
 	if u.prefillPerSecond > 0 {
@@ -105,9 +138,13 @@
 	u.underWay = max(0, u.underWay-1)
 }
 
-// dequeue counts the end of a prefill, likewise.
-func (u *upstream) dequeue(tokens int64) {
+// dequeue counts the end of a prefill that was sent at a time, likewise.
+func (u *upstream) dequeue(tokens int64, sentAt time.Time) {
 	u.queuedTokens = max(0, u.queuedTokens-tokens)
+	i := slices.IndexFunc(u.begun, func(t time.Time) bool { return t.Equal(sentAt) })
+	if i >= 0 {
+		u.begun = slices.Delete(u.begun, i, i+1)
+	}
 }
 
 // observe takes in the time that a prefill took.
--- a/coltsload/load_result.go
+++ b/coltsload/load_result.go
@@ -113,7 +113,9 @@
 		r.reasons[o.reply.Reason]++
 		return
 	}
-	r.goodput[second]++
+	if r.Scenario.GoodWithin == 0 || o.reply.FirstToken <= r.Scenario.GoodWithin {
+		r.goodput[second]++
+	}
 	r.answered[o.kind]++
 	r.prompt += o.tokens
 	r.least += o.tokens - o.kept
--- a/coltsload/load_scenario.go
+++ b/coltsload/load_scenario.go
@@ -40,6 +40,9 @@
 	MaxPieces int `json:"max-pieces"`
 	// AnswerTokens is the length of an answer.
 	AnswerTokens int `json:"answer-tokens"`
+	// GoodWithin is the time to first token within which an answer counts as good;
+	// 0 for any.
+	GoodWithin time.Duration `json:"good-within"`
 	// LongPerMille of the arrivals are LongFactor times as long.
 	LongPerMille int `json:"long-per-mille"`
 	LongFactor   int `json:"long-factor"`
--- a/coltsorganisation/admission.go
+++ b/coltsorganisation/admission.go
@@ -45,6 +45,10 @@
 // use is what one organisation has under way.
 type use struct {
 	underWay int
+	// tokens are the prompt tokens of what is under way, and weight is the
+	// organisation's as the document had it then.
+	tokens int64
+	weight int
 	// paidUntil is when the tokens taken so far are paid off at the rate.
 	paidUntil time.Time
 }
@@ -72,18 +76,51 @@
 		return &LimitError{Organisation: o.ID, Limit: "tokens-per-second", RetryAt: u.paidUntil.Add(-burst)}
 	}
 	u.underWay++
+	u.tokens += tokens
+	u.weight = max(1, o.Weight)
 	u.take(o, tokens, now)
 	return nil
 }
 
-// Leave gives the place back and takes the tokens that were not known when the
-// request was admitted.
-func (a *Admission) Leave(o coltsdocument.Organisation, moreTokens int64, now time.Time) {
+// OverShare says whether an organisation has more under way than its weight gives
+// it among those that have anything under way. Who is within its share is not
+// refused because others ask for more than theirs.
+func (a *Admission) OverShare(id coltsidentity.Organisation) bool {
+	var tokens, weight int64
+	for i := range a.shards {
+		t, w := a.shards[i].sums()
+		tokens += t
+		weight += w
+	}
+	s := &a.shards[coltsshard.Of(id)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u, known := s.use[id]
+	return known && u.tokens*weight > tokens*int64(u.weight)
+}
+
+// sums returns the tokens under way and the weights of those that have any.
+func (s *admissionShard) sums() (tokens, weight int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, u := range s.use {
+		if u.underWay > 0 {
+			tokens += u.tokens
+			weight += int64(u.weight)
+		}
+	}
+	return tokens, weight
+}
+
+// Leave gives the place back of a request that was admitted with some tokens, and
+// takes the tokens that were not known then.
+func (a *Admission) Leave(o coltsdocument.Organisation, admitted, moreTokens int64, now time.Time) {
 	s := &a.shards[coltsshard.Of(o.ID)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u := s.get(o.ID)
 	u.underWay--
+	u.tokens -= admitted
 	u.take(o, moreTokens, now)
 	if u.underWay == 0 && !u.paidUntil.After(now) {
 		delete(s.use, o.ID)
--- /dev/null
+++ b/coltsorganisation/admission_test.go
@@ -0,0 +1,72 @@
+package coltsorganisation
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootstall/coltsdocument"
+	"coltsfootstall/coltsidentity"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func organisation(id string, weight int) coltsdocument.Organisation {
+	return coltsdocument.Organisation{ID: coltsidentity.Organisation(id), Weight: weight}
+}
+
+func assertLimit(t *testing.T, err error, limit string) *LimitError {
+	t.Helper()
+	var l *LimitError
+	assert.Assert(t, errors.As(err, &l), "%v", err)
+	assert.Equal(t, l.Limit, limit)
+	return l
+}
+
+func TestLimits(t *testing.T) {
+	t.Run("concurrent requests are bounded, and places come back", func(t *testing.T) {
+		a, o := NewAdmission(), organisation("acme", 1)
+		o.Concurrent = 1
+		assert.NilError(t, a.Admit(o, 10, start))
+		assertLimit(t, a.Admit(o, 10, start), "concurrent")
+		a.Leave(o, 10, 0, start)
+		assert.NilError(t, a.Admit(o, 10, start))
+	})
+	t.Run("tokens are bounded by a rate, and the refusal says until when", func(t *testing.T) {
+		a, o := NewAdmission(), organisation("acme", 1)
+		o.TokensPerSecond = 100
+		assert.NilError(t, a.Admit(o, 500, start))
+		l := assertLimit(t, a.Admit(o, 1, start), "tokens-per-second")
+		assert.NilError(t, a.Admit(o, 1, l.RetryAt))
+	})
+	t.Run("one organisation's limit is not another's", func(t *testing.T) {
+		a, o := NewAdmission(), organisation("acme", 1)
+		o.Concurrent = 1
+		assert.NilError(t, a.Admit(o, 10, start))
+		assert.NilError(t, a.Admit(organisation("zenith", 1), 10, start))
+	})
+}
+
+func TestShare(t *testing.T) {
+	a := NewAdmission()
+	large, small := organisation("large", 2), organisation("small", 1)
+	admit := func(o coltsdocument.Organisation, tokens int64) { assert.NilError(t, a.Admit(o, tokens, start)) }
+	admit(large, 600)
+	admit(small, 300)
+	t.Run("at its weight's share nobody is over", func(t *testing.T) {
+		assert.Assert(t, !a.OverShare("large") && !a.OverShare("small"))
+	})
+	t.Run("who has more is over, and the other is not", func(t *testing.T) {
+		admit(large, 600)
+		assert.Assert(t, a.OverShare("large") && !a.OverShare("small"))
+	})
+	t.Run("what has left does not count", func(t *testing.T) {
+		a.Leave(large, 600, 0, start)
+		assert.Assert(t, !a.OverShare("large"))
+	})
+	t.Run("a stranger is not over", func(t *testing.T) {
+		assert.Assert(t, !a.OverShare("nobody"))
+	})
+}
--- a/coltsrequest/call_life.go
+++ b/coltsrequest/call_life.go
@@ -201,7 +201,7 @@
 	choice, found := l.cfg.Policy.Choose(coltsrouting.Work{
 		Home:  coltscache.Piece(digest[:len(coltscache.Piece{})]),
 		Tried: l.tried,
-	}, candidates)
+	}, candidates, now)
 	if !found {
 		refusal := &coltsattempt.RefusedError{
 			Outcome: l.outcome,
@@ -212,7 +212,7 @@
 	}
 	l.attempts++
 	l.upstream = choice.Candidate.Announcement.ID
-	l.cfg.Fleet.Dispatched(l.upstream, 0)
+	l.cfg.Fleet.Dispatched(l.upstream, 0, now)
 	return CallAction{Kind: CallDispatch, Dispatch: CallDispatchTo{
 		Attempt:  l.attempts,
 		Upstream: l.upstream,
@@ -305,7 +305,7 @@
 
 func (l *CallLife) leave(now time.Time) {
 	if l.admitted {
-		l.cfg.Admission.Leave(l.call.Organisation, 0, now)
+		l.cfg.Admission.Leave(l.call.Organisation, 0, 0, now)
 	}
 	l.admitted = false
 }
--- a/coltsrequest/request_life.go
+++ b/coltsrequest/request_life.go
@@ -22,6 +22,10 @@
 	// lookupTimeout bounds the question to a store; recomputing a piece takes
 	// several times as long.
 	lookupTimeout = 25 * time.Millisecond
+	// overdueFloor and overdueFactor say when a first token is overdue: after some
+	// multiple of the time that was expected, but not for a trifle.
+	overdueFloor  = 400 * time.Millisecond
+	overdueFactor = 3
 	// busyRetryAfter is what a caller is told when no upstream can take work.
 	busyRetryAfter = time.Second
 )
@@ -39,6 +43,9 @@
 	Policy     *coltsrouting.Policy
 	// MaxAttempts bounds the attempts at one request.
 	MaxAttempts int
+	// MaxQueue is the longest wait for a turn that is expected of a request; longer
+	// ones are refused early. 0 for no bound.
+	MaxQueue time.Duration
 	// KeepCache says whether pieces are exported and restored at all.
 	KeepCache bool
 	// Observe is told the time to first token of each streamed request; nil for
@@ -198,25 +205,71 @@
 	if !found {
 		return l.refuse(l.noUpstream(now), now)
 	}
+	if refusal := l.overloaded(choice, now); refusal != nil {
+		return l.refuse(refusal, now)
+	}
+	return l.dispatchTo(choice, now)
+}
+
+// overloaded refuses a request early that would wait too long for its turn, as not
+// run, rather than let it time out. While the wait is not twice too long, only
+// organisations that have more than their share under way are refused. What has
+// been tried before is not refused for this reason.
+func (l *Life) overloaded(choice coltsrouting.Choice, now time.Time) *coltsattempt.RefusedError {
+	over := choice.Queue - l.cfg.MaxQueue
+	if l.cfg.MaxQueue <= 0 || over <= 0 || l.attempts > 0 {
+		return nil
+	}
+	if over < l.cfg.MaxQueue && !l.cfg.Admission.OverShare(l.prompt.Organisation.ID) {
+		return nil
+	}
+	return coltsattempt.NotRun(coltsattempt.ReasonOverloaded,
+		"the shortest queue takes %v", choice.Queue.Round(time.Millisecond)).At(now.Add(over))
+}
+
+// dispatchTo sends the request to a chosen upstream.
+func (l *Life) dispatchTo(choice coltsrouting.Choice, now time.Time) Action {
 	l.attempts++
 	l.choice = choice
 	l.sentAt = now
 	l.prefilled = false
-	l.cfg.Fleet.Dispatched(l.upstream(), l.expectedCompute())
+	l.cfg.Fleet.Dispatched(l.upstream(), l.expectedCompute(), now)
 	if choice.Restore.Pieces > 0 {
 		l.cfg.Links.Begin(choice.Restore.Store, choice.Restore.Pieces)
 	}
 	return Action{Kind: ActionDispatch, Dispatch: Dispatch{
-		Attempt:  l.attempts,
-		Upstream: l.upstream(),
-		Addr:     choice.Candidate.Announcement.Addr,
-		Pieces:   l.pieces,
-		Restore:  choice.Restore,
-		ResumeAt: l.delivered,
-		Deadline: l.prompt.Deadline,
+		Attempt:   l.attempts,
+		Upstream:  l.upstream(),
+		Addr:      choice.Candidate.Announcement.Addr,
+		Pieces:    l.pieces,
+		Restore:   choice.Restore,
+		ResumeAt:  l.delivered,
+		OverdueAt: now.Add(max(overdueFloor, overdueFactor*choice.Expected)),
+		Deadline:  l.prompt.Deadline,
 	}}
 }
 
+// Overdue takes in that the attempt under way has given no first token by the time
+// that its dispatch named. The action is another dispatch, for which the front end
+// cancels the attempt; or there is none and the front end waits on. A second
+// attempt is paid for like a retry, and the first is never charged.
+func (l *Life) Overdue(now time.Time) (Action, bool) {
+	if l.prefilled || l.delivered > 0 || l.attempts >= l.cfg.MaxAttempts {
+		return Action{}, false
+	}
+	slow := l.upstream()
+	l.tried = append(l.tried, slow)
+	choice, found := l.choose(now)
+	worthIt := found && choice.Expected < now.Sub(l.sentAt)
+	if !worthIt || !l.cfg.Budget.Spend(l.prompt.Organisation.ID) {
+		l.tried = l.tried[:len(l.tried)-1]
+		return Action{}, false
+	}
+	l.endAttempt(coltsattempt.Failure{Phase: coltsattempt.PhaseSent}, now)
+	l.outcome = coltsattempt.OutcomeOf(coltsattempt.Failure{Phase: coltsattempt.PhaseSent}, l.outcome)
+	return l.dispatchTo(choice, now), true
+}
+
 func (l *Life) choose(now time.Time) (coltsrouting.Choice, bool) {
 	serving := coltsfleet.Serving{Model: l.prompt.Model, Version: l.prompt.Version}
 	candidates := l.cfg.Fleet.Runners(serving, l.cfg.Document(), now)
@@ -226,7 +279,7 @@
 		Holdings:     l.cfg.Directory.Locate(l.pieces, now),
 		Sources:      l.sources(now),
 		Tried:        l.tried,
-	}, candidates)
+	}, candidates, now)
 }
 
 // sources returns the stores that hold leading pieces.
@@ -274,6 +327,12 @@
 	return max(1, l.prompt.Tokens()-kept)
 }
 
+// Taken takes in that the upstream has taken the request, with the tokens that it
+// says were waiting before it.
+func (l *Life) Taken(queued int64, now time.Time) {
+	l.cfg.Fleet.Queued(l.upstream(), queued, now)
+}
+
 // Prefill is what an upstream says when its prefill has ended.
 type Prefill struct {
 	// PromptTokens are all tokens of the prompt, Cached those that were not
@@ -292,7 +351,7 @@
 	}
 	l.prefilled = true
 	l.outcome = coltsattempt.OutcomeRan
-	l.cfg.Fleet.FirstToken(l.upstream(), l.expectedCompute(), p.PromptTokens-p.Cached, now.Sub(l.sentAt))
+	l.cfg.Fleet.FirstToken(l.upstream(), l.expectedCompute(), p.PromptTokens-p.Cached, l.sentAt, now)
 	l.endRestore(int(p.Restored/coltscache.PieceTokens), p.RestoreTook)
 	l.cfg.Directory.Record(l.pieces, l.upstream(), now)
 	if l.delivered > 0 {
@@ -398,7 +457,7 @@
 // endAttempt settles the books of the attempt that failed.
 func (l *Life) endAttempt(f coltsattempt.Failure, now time.Time) {
 	if !l.prefilled {
-		l.cfg.Fleet.Returned(l.upstream(), l.expectedCompute())
+		l.cfg.Fleet.Returned(l.upstream(), l.expectedCompute(), l.sentAt)
 		l.endRestore(0, 0)
 	}
 	if f.Phase == coltsattempt.PhaseRefused {
@@ -435,7 +494,7 @@
 		return Charge{}
 	}
 	if l.attempts > 0 && !l.prefilled {
-		l.cfg.Fleet.Returned(l.upstream(), l.expectedCompute())
+		l.cfg.Fleet.Returned(l.upstream(), l.expectedCompute(), l.sentAt)
 		l.endRestore(0, 0)
 	}
 	if l.attempts > 0 {
@@ -455,7 +514,7 @@
 // leave gives back the organisation's place, once.
 func (l *Life) leave(now time.Time) {
 	if l.admitted {
-		l.cfg.Admission.Leave(l.prompt.Organisation, l.tokens.Generated, now)
+		l.cfg.Admission.Leave(l.prompt.Organisation, l.prompt.Tokens(), l.tokens.Generated, now)
 	}
 	l.admitted = false
 	l.ended = true
--- a/coltsrequest/request_life_test.go
+++ b/coltsrequest/request_life_test.go
@@ -197,6 +197,22 @@
 		assertRefused(t, life.Failed(refused, start), coltsattempt.OutcomeUnknown, coltsattempt.ReasonNoUpstream)
 	})
 
+	t.Run("a first token that is overdue is sought elsewhere, once it is worth it", func(t *testing.T) {
+		w := newWorld(t)
+		life, action := w.coordinator.Begin(prompt(0), start)
+		first := assertDispatch(t, action, 1)
+		_, moved := life.Overdue(start.Add(time.Microsecond))
+		assert.Assert(t, !moved, "another would take as long")
+		second, moved := life.Overdue(first.OverdueAt)
+		assert.Assert(t, moved)
+		assert.Assert(t, assertDispatch(t, second, 2).Upstream != first.Upstream)
+		_, moved = life.Overdue(second.Dispatch.OverdueAt)
+		assert.Assert(t, !moved, "there is no third")
+		life.Prefilled(Prefill{PromptTokens: 1}, start)
+		life.Finished(1, start)
+		assertSettled(t, w)
+	})
+
 	t.Run("a caller that leaves is charged for what ran", func(t *testing.T) {
 		w := newWorld(t)
 		life, _ := w.coordinator.Begin(prompt(0), start)
--- a/coltsrequest/request_prompt.go
+++ b/coltsrequest/request_prompt.go
@@ -114,6 +114,9 @@
 	Restore coltscache.RestorePlan
 	// ResumeAt is how many parts of the answer the caller has; 0 from the start.
 	ResumeAt int64
+	// OverdueAt is when Overdue should be asked if no first token has come; zero
+	// for never.
+	OverdueAt time.Time
 	// Deadline is when the attempt is given up.
 	Deadline time.Time
 }
--- a/coltsrouting/policy.go
+++ b/coltsrouting/policy.go
@@ -35,7 +35,9 @@
 	// Held is how many leading pieces the upstream is believed to hold.
 	Held    int
 	Restore coltscache.RestorePlan
-	// Expected is the expected time to first token.
+	// Queue is the expected wait for its turn, and Expected the expected time to
+	// first token.
+	Queue    time.Duration
 	Expected time.Duration
 }
 
@@ -44,14 +46,14 @@
 	Name  string
 	Usage string
 	// choose picks among options of which there is at least one.
-	choose func(w Work, options []Choice) Choice
+	choose func(w Work, options []Choice, now time.Time) Choice
 }
 
 // policyMember is one line of the table of policies.
 type policyMember struct {
 	name  string
 	usage string
-	build func() func(w Work, options []Choice) Choice
+	build func() func(w Work, options []Choice, now time.Time) Choice
 }
 
 // policyTable lists the policies, the default first.
@@ -83,7 +85,7 @@
 // Choose picks an upstream for the work. It returns false if none may take it.
 // Draining upstreams and those that failed the request get none; ejected ones
 // get some only if there is no other.
-func (p *Policy) Choose(w Work, candidates []coltsfleet.Candidate) (Choice, bool) {
+func (p *Policy) Choose(w Work, candidates []coltsfleet.Candidate, now time.Time) (Choice, bool) {
 	options := optionsOf(w, candidates, false)
 	if len(options) == 0 {
 		options = optionsOf(w, candidates, true)
@@ -91,7 +93,7 @@
 	if len(options) == 0 {
 		return Choice{}, false
 	}
-	return p.choose(w, options), true
+	return p.choose(w, options, now), true
 }
 
 func optionsOf(w Work, candidates []coltsfleet.Candidate, ejected bool) []Choice {
@@ -118,7 +120,12 @@
 		Sources:          w.Sources,
 	})
 	queue := time.Duration(float64(c.QueuedTokens) / float64(c.PrefillPerSecond) * float64(time.Second))
-	return Choice{Candidate: c, Held: held, Restore: plan, Expected: queue + plan.Expected}
+	return Choice{Candidate: c, Held: held, Restore: plan, Queue: queue, Expected: queue + plan.Expected}
+}
+
+// computes returns the tokens that an upstream would compute for the work.
+func (c Choice) computes(w Work) int64 {
+	return w.PromptTokens - int64(c.Held+c.Restore.Pieces)*coltscache.PieceTokens
 }
 
 func (w Work) heldBy(id coltsidentity.Upstream) int {
--- a/coltsrouting/policy_expected.go
+++ b/coltsrouting/policy_expected.go
@@ -13,14 +13,18 @@
 var policyExpected = policyMember{
 	name:  "expected-first-token",
 	usage: "the upstream with the least expected time to first token: queue, restore, recompute",
-	build: func() func(Work, []Choice) Choice { return chooseExpected },
+	build: newExpected,
 }
 
-func chooseExpected(w Work, options []Choice) Choice {
-	best := options[0].Expected
-	for _, o := range options {
-		best = min(best, o.Expected)
+func newExpected() func(Work, []Choice, time.Time) Choice {
+	var long longWork
+	return func(w Work, options []Choice, now time.Time) Choice {
+		return chooseExpected(w, long.narrow(w, options, now))
 	}
+}
+
+func chooseExpected(w Work, options []Choice) Choice {
+	best := leastExpected(options)
 	var near []Choice
 	for _, o := range options {
 		if o.Expected <= best+homeSlack {
--- a/coltsrouting/policy_round_robin.go
+++ b/coltsrouting/policy_round_robin.go
@@ -2,7 +2,10 @@
 
 // Round robin is the baseline that knows nothing.
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
 
 var policyRoundRobin = policyMember{
 	name:  "round-robin",
@@ -10,9 +13,9 @@
 	build: newRoundRobin,
 }
 
-func newRoundRobin() func(Work, []Choice) Choice {
+func newRoundRobin() func(Work, []Choice, time.Time) Choice {
 	var turn atomic.Uint64
-	return func(_ Work, options []Choice) Choice {
+	return func(_ Work, options []Choice, _ time.Time) Choice {
 		n := turn.Add(1)
 		return options[n%uint64(len(options))]
 	}
--- /dev/null
+++ b/coltsrouting/policy_test.go
@@ -0,0 +1,126 @@
+package coltsrouting
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootstall/coltscache"
+	"coltsfootstall/coltsfleet"
+	"coltsfootstall/coltsidentity"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func candidates(n int) []coltsfleet.Candidate {
+	var list []coltsfleet.Candidate
+	for i := range n {
+		list = append(list, coltsfleet.Candidate{
+			Announcement:     coltsfleet.Announcement{ID: coltsidentity.Upstream(fmt.Sprintf("runner-%d", i))},
+			PrefillPerSecond: 20_000,
+		})
+	}
+	return list
+}
+
+func policy(t *testing.T, name string) *Policy {
+	t.Helper()
+	p, known := New(name)
+	assert.Assert(t, known)
+	return p
+}
+
+func choose(t *testing.T, p *Policy, w Work, c []coltsfleet.Candidate) coltsidentity.Upstream {
+	t.Helper()
+	choice, found := p.Choose(w, c, start)
+	assert.Assert(t, found)
+	return choice.Candidate.Announcement.ID
+}
+
+func TestEveryPolicy(t *testing.T) {
+	for _, name := range Names() {
+		t.Run(name+" leaves out draining upstreams and those that failed", func(t *testing.T) {
+			c := candidates(4)
+			c[0].Draining = true
+			tried := []coltsidentity.Upstream{"runner-1", "runner-2"}
+			for range 8 {
+				assert.Equal(t, choose(t, policy(t, name), Work{Tried: tried}, c), coltsidentity.Upstream("runner-3"))
+			}
+		})
+		t.Run(name+" uses ejected upstreams only if there is no other", func(t *testing.T) {
+			c := candidates(2)
+			c[0].Ejected = true
+			assert.Equal(t, choose(t, policy(t, name), Work{}, c), coltsidentity.Upstream("runner-1"))
+			c[1].Ejected = true
+			choose(t, policy(t, name), Work{}, c)
+		})
+		t.Run(name+" says when nobody may take the work", func(t *testing.T) {
+			_, found := policy(t, name).Choose(Work{}, nil, start)
+			assert.Assert(t, !found)
+		})
+	}
+}
+
+func TestExpected(t *testing.T) {
+	p := policy(t, "expected-first-token")
+	t.Run("equal upstreams: the home wins, the same one each time", func(t *testing.T) {
+		w := Work{Home: coltscache.Piece{1}, PromptTokens: 100}
+		first := choose(t, p, w, candidates(9))
+		assert.Equal(t, choose(t, policy(t, "expected-first-token"), w, candidates(9)), first)
+	})
+	t.Run("a holder wins over an idle stranger", func(t *testing.T) {
+		w := Work{PromptTokens: 20_000, Holdings: []coltscache.Holding{{Upstream: "runner-3", Pieces: 9}}}
+		assert.Equal(t, choose(t, p, w, candidates(9)), coltsidentity.Upstream("runner-3"))
+	})
+	t.Run("but not if its queue is longer than the work", func(t *testing.T) {
+		w := Work{PromptTokens: 20_000, Holdings: []coltscache.Holding{{Upstream: "runner-3", Pieces: 9}}}
+		c := candidates(9)
+		c[3].QueuedTokens = 100_000
+		assert.Assert(t, choose(t, p, w, c) != "runner-3")
+	})
+}
+
+func TestLongWork(t *testing.T) {
+	p := policy(t, "expected-first-token")
+	long, short := map[coltsidentity.Upstream]bool{}, map[coltsidentity.Upstream]bool{}
+	place := func(tokens int64, used map[coltsidentity.Upstream]bool) {
+		for i := range 200 {
+			used[choose(t, p, Work{Home: coltscache.Piece{byte(i)}, PromptTokens: tokens}, candidates(18))] = true
+		}
+	}
+	t.Run("without long work short work goes anywhere", func(t *testing.T) {
+		place(2000, short)
+		assert.Assert(t, len(short) > 12)
+	})
+	t.Run("long work takes its share only", func(t *testing.T) {
+		place(100_000, long)
+		assert.Assert(t, len(long) <= 7)
+	})
+	t.Run("then short work stays off those runners", func(t *testing.T) {
+		clear(short)
+		place(2000, short)
+		for id := range short {
+			assert.Assert(t, !long[id])
+		}
+	})
+	t.Run("unless all others are far behind", func(t *testing.T) {
+		c := candidates(18)
+		for i := range c {
+			if !long[c[i].Announcement.ID] {
+				c[i].QueuedTokens = 100_000
+			}
+		}
+		assert.Assert(t, long[choose(t, p, Work{PromptTokens: 2000}, c)])
+	})
+	t.Run("a long prompt that is kept is not long work", func(t *testing.T) {
+		w := Work{PromptTokens: 100_000}
+		for _, c := range candidates(18) {
+			if !long[c.Announcement.ID] {
+				w.Holdings = append(w.Holdings, coltscache.Holding{Upstream: c.Announcement.ID, Pieces: 49})
+			}
+		}
+		assert.Assert(t, !long[choose(t, p, w, candidates(18))])
+	})
+}
--- a/coltssettings/settings.go
+++ b/coltssettings/settings.go
@@ -32,6 +32,7 @@
 	KeepCache     bool   `json:"keep-cache" unit:"" usage:"export prompts' cache to stores and restore it; false recomputes always"`
 
 	MaxUnderWay    int           `json:"max-under-way" unit:"requests" min:"1" usage:"requests served at once; more are refused as not run"`
+	MaxQueue       time.Duration `json:"max-queue" unit:"duration" min:"0s" usage:"longest expected wait for a turn; requests that would wait longer are refused as not run; 0s for no bound"`
 	MaxAttempts    int           `json:"max-attempts" unit:"attempts" min:"1" usage:"attempts at one request, the first one counted"`
 	MaxBodyBytes   int           `json:"max-body-bytes" unit:"bytes" min:"1024" usage:"longest body that callers may send"`
 	RequestTimeout time.Duration `json:"request-timeout" unit:"duration" min:"1ms" usage:"time after which a request is given up"`
@@ -77,6 +78,7 @@
 			RoutingPolicy:  "expected-first-token",
 			KeepCache:      true,
 			MaxUnderWay:    4096,
+			MaxQueue:       2 * time.Second,
 			MaxAttempts:    3,
 			MaxBodyBytes:   16 << 20,
 			RequestTimeout: 5 * time.Minute,
--- a/coltsstandin/runner.go
+++ b/coltsstandin/runner.go
@@ -210,6 +210,7 @@
 		return
 	}
 	j := newJob(ctx, prompt, faults)
+	ctx.Response.Header.Set(coltscodec.HeaderQueued, strconv.FormatInt(r.engine.load().queuedTokens, 10))
 	if faults.Cross {
 		j.id = coltsidentity.NewRequest().String()
 		ctx.Response.Header.Set(coltscodec.HeaderRequest, j.id)
--- a/coltsupstream/upstream_stream.go
+++ b/coltsupstream/upstream_stream.go
@@ -11,6 +11,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -35,6 +36,9 @@
 	EventUsage
 	// EventEnd is the last event of a whole answer.
 	EventEnd
+	// EventOverdue says that none of the others has come by the time that was
+	// asked for. The stream goes on.
+	EventOverdue
 )
 
 // Event is one event of a stream. Only the fields of its kind are set.
@@ -87,10 +91,26 @@
 	return f
 }
 
+// Queued returns how many tokens the runner said were waiting before the request,
+// and whether it said so.
+func (s *Stream) Queued() (int64, bool) {
+	n, err := strconv.ParseInt(string(s.x.resp.Header.Peek(coltscodec.HeaderQueued)), 10, 64)
+	return n, err == nil
+}
+
 // Next returns the next event. It waits until one comes, the connection goes
 // silent or breaks, or the context of Open ends.
 func (s *Stream) Next() (Event, *Failure) {
+	return s.NextBy(time.Time{})
+}
+
+// NextBy is Next, but returns EventOverdue if no event has come by a time. Signs
+// of life are no events. The zero time is never.
+func (s *Stream) NextBy(overdueAt time.Time) (Event, *Failure) {
 	for {
+		if !overdueAt.IsZero() && !s.x.client.cfg.Now().Before(overdueAt) {
+			return Event{Kind: EventOverdue}, nil
+		}
 		if s.br.Buffered() == 0 {
 			s.x.await()
 		}
