Tell other entries of requests that crash upstreams, and keep suspects apart.

Cause: each entry counted crashes for itself, so a poisonous request took two upstreams at each entry that it was sent to; dead runners were tried three times before they were left alone, and each try took from the retry budget. Change: a crash is told to three other entries at once, and passed on by whoever hears it first; suspects are placed by their fingerprint alone, so that two of them seldom share a runner and an innocent one is cleared by its next attempt; an upstream that is gone is ejected at once; an attempt that never left costs no budget.

--- a/coltsattempt/quarantine.go
+++ b/coltsattempt/quarantine.go
@@ -57,19 +57,53 @@
 	return &q.shards[int(f[0])%coltsshard.Count]
 }
 
-// Crashed counts the crash of an upstream that was running a request.
-func (q *Quarantine) Crashed(f coltsidentity.Digest, upstream coltsidentity.Upstream, now time.Time) {
+// Crashed counts the crash of an upstream that was running a request, and returns
+// what is known of the request now.
+func (q *Quarantine) Crashed(f coltsidentity.Digest, upstream coltsidentity.Upstream, now time.Time) Suspect {
+	suspect := Suspect{
+		Fingerprint: f,
+		Upstreams:   []coltsidentity.Upstream{upstream},
+		ForgetAt:    now.Add(quarantineRetention),
+	}
+	q.Merge(suspect, now)
 	s := q.shard(f)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.suspects[f]
+}
+
+// Merge takes in what another entry knows of a request and says whether any of it
+// was news.
+func (q *Quarantine) Merge(other Suspect, now time.Time) bool {
+	s := q.shard(other.Fingerprint)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.forgetLocked(now)
-	suspect := s.suspects[f]
-	suspect.Fingerprint = f
-	suspect.ForgetAt = now.Add(quarantineRetention)
-	if !slices.Contains(suspect.Upstreams, upstream) {
-		suspect.Upstreams = append(slices.Clone(suspect.Upstreams), upstream)
+	suspect := s.suspects[other.Fingerprint]
+	suspect.Fingerprint = other.Fingerprint
+	news := false
+	for _, upstream := range other.Upstreams {
+		if !slices.Contains(suspect.Upstreams, upstream) {
+			suspect.Upstreams = append(slices.Clone(suspect.Upstreams), upstream)
+			news = true
+		}
+	}
+	if other.ForgetAt.After(suspect.ForgetAt) {
+		suspect.ForgetAt = other.ForgetAt
 	}
-	s.suspects[f] = suspect
+	s.suspects[other.Fingerprint] = suspect
+	return news
+}
+
+// Suspected says whether a request ran on an upstream that crashed. It is then
+// kept apart from other suspects, so that an innocent one is cleared by its next
+// attempt.
+func (q *Quarantine) Suspected(f coltsidentity.Digest, now time.Time) bool {
+	s := q.shard(f)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	suspect, known := s.suspects[f]
+	return known && now.Before(suspect.ForgetAt)
 }
 
 // Cleared forgets a suspect that ended well.
--- a/coltscontrol/replica_driver.go
+++ b/coltscontrol/replica_driver.go
@@ -96,9 +96,8 @@
 
 // pendingRead waits until what is applied is fresh.
 type pendingRead struct {
-	index uint64
-	err   error
-	done  chan struct{}
+	err  error
+	done chan struct{}
 }
 
 // pendingChange is a change of the group.
--- a/coltsentry/entry.go
+++ b/coltsentry/entry.go
@@ -143,6 +143,7 @@
 		MaxQueue:    e.settings.MaxQueue,
 		KeepCache:   e.settings.KeepCache,
 		Observe:     e.observeFirstToken,
+		OnCrash:     func(s coltsattempt.Suspect) { e.peers.tellSuspect(s) },
 	})
 }
 
@@ -295,3 +296,6 @@
 
 // Upstreams returns the number of live upstreams that the entry knows.
 func (e *Entry) Upstreams() int { return len(e.fleet.All(e.document(), e.cfg.Now())) }
+
+// Suspects returns the number of requests that are suspected of crashing upstreams.
+func (e *Entry) Suspects() int { return len(e.quarantine.Suspects(e.cfg.Now())) }
--- a/coltsentry/peer_link.go
+++ b/coltsentry/peer_link.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltscodec"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslink"
@@ -141,6 +142,17 @@
 	}
 }
 
+// tellSuspect passes on at once that a request has crashed its upstream: its caller
+// may already be sending it to another entry. Who hears it for the first time
+// passes it on in turn.
+func (l *peerLink) tellSuspect(s coltsattempt.Suspect) {
+	for _, p := range l.pick(spreadTo) {
+		l.e.background.TrySubmit(func() {
+			l.share(context.Background(), p, &coltspb.ShareRequest{Suspects: []*coltspb.Suspect{coltswire.EncodeSuspect(s)}})
+		})
+	}
+}
+
 // compare asks one peer after another for a newer document until ctx ends, so
 // that an entry whose link to control has gone silent does not stay behind.
 func (l *peerLink) compare(ctx context.Context) {
@@ -161,6 +173,12 @@
 	for _, m := range r.GetEvents() {
 		l.e.takeEvent(coltswire.DecodeCacheEvent(m))
 	}
+	for _, m := range r.GetSuspects() {
+		suspect := coltswire.DecodeSuspect(m)
+		if l.e.quarantine.Merge(suspect, l.e.cfg.Now()) {
+			l.tellSuspect(suspect)
+		}
+	}
 	reply := &coltspb.ShareReply{}
 	if text := l.e.text.Load(); text.GetRevision() > r.GetRevision() {
 		reply.Document = text
--- a/coltsfleet/fleet.go
+++ b/coltsfleet/fleet.go
@@ -214,14 +214,14 @@
 	f.with(id, func(u *upstream) { u.leave() })
 }
 
-// Failed counts the failure of a request and ejects the upstream if it has
-// failed too often, unless too many of its kind are ejected already.
-func (f *Fleet) Failed(id coltsidentity.Upstream, now time.Time) {
+// Failed counts the failure of a request and ejects the upstream if it is gone or
+// has failed too often, unless too many of its kind are ejected already.
+func (f *Fleet) Failed(id coltsidentity.Upstream, gone bool, now time.Time) {
 	due := false
 	var kind coltsdocument.Kind
 	f.with(id, func(u *upstream) {
 		u.leave()
-		due = u.fail()
+		due = u.fail() || gone
 		kind = u.announcement.Kind
 	})
 	if !due || !f.mayEject(kind, now) {
--- a/coltsfleet/fleet_test.go
+++ b/coltsfleet/fleet_test.go
@@ -102,7 +102,7 @@
 	fail := func(f *Fleet, id coltsidentity.Upstream) {
 		for range ejectAfterFailures {
 			f.Dispatched(id, 0, start)
-			f.Failed(id, start)
+			f.Failed(id, false, start)
 		}
 	}
 	ejected := func(f *Fleet, now time.Time) int {
@@ -128,6 +128,12 @@
 		assert.Equal(t, ejected(f, start), 1)
 		assert.Equal(t, ejected(f, start.Add(ejectionPeriod)), 0)
 	})
+	t.Run("one that is gone is ejected at once", func(t *testing.T) {
+		f := fleet(t, 9)
+		f.Dispatched("r0", 0, start)
+		f.Failed("r0", true, start)
+		assert.Equal(t, ejected(f, start), 1)
+	})
 	t.Run("not more than a share is ejected at once", func(t *testing.T) {
 		f := fleet(t, 9)
 		for i := range 9 {
@@ -146,7 +152,7 @@
 		again := runner("r0", 1)
 		again.Incarnation = start.Add(time.Second)
 		announce(t, f, again, start)
-		f.Failed("r0", start)
+		f.Failed("r0", false, start)
 		assert.Equal(t, f.All(rules(), start)[0].UnderWay, 0)
 	})
 }
--- a/coltsload/load_run.go
+++ b/coltsload/load_run.go
@@ -200,7 +200,9 @@
 		kind = KindReturn
 	}
 	if s.PoisonEvery > 0 && n%s.PoisonEvery == 0 {
+		// One caller sends the same request again and again.
 		kind, c = KindPoison, nil
+		organisation, pieces = 0, s.MinPieces
 	}
 	if c == nil {
 		c = r.pool.begin(organisation, pieces, kind == KindPoison)
--- a/coltsrequest/call_life.go
+++ b/coltsrequest/call_life.go
@@ -277,7 +277,7 @@
 		l.cfg.Fleet.Abandoned(l.upstream)
 		return
 	}
-	l.cfg.Fleet.Failed(l.upstream, now)
+	l.cfg.Fleet.Failed(l.upstream, isGone(f), now)
 }
 
 // settleAndRefuse ends a call that got no answer. A granted call is settled by
--- a/coltsrequest/request_life.go
+++ b/coltsrequest/request_life.go
@@ -51,6 +51,9 @@
 	// Observe is told the time to first token of each streamed request; nil for
 	// nobody.
 	Observe func(p Prompt, firstToken time.Duration, now time.Time)
+	// OnCrash is told of each request whose upstream crashed, so that other
+	// entries can be told; nil for nobody.
+	OnCrash func(coltsattempt.Suspect)
 }
 
 // Coordinator begins lives. It may be used by many goroutines.
@@ -63,6 +66,9 @@
 	if cfg.Observe == nil {
 		cfg.Observe = func(Prompt, time.Duration, time.Time) {}
 	}
+	if cfg.OnCrash == nil {
+		cfg.OnCrash = func(coltsattempt.Suspect) {}
+	}
 	return &Coordinator{cfg: cfg}
 }
 
@@ -273,8 +279,14 @@
 func (l *Life) choose(now time.Time) (coltsrouting.Choice, bool) {
 	serving := coltsfleet.Serving{Model: l.prompt.Model, Version: l.prompt.Version}
 	candidates := l.cfg.Fleet.Runners(serving, l.cfg.Document(), now)
+	home := l.home
+	apart := l.cfg.Quarantine.Suspected(l.fingerprint, now)
+	if apart {
+		home = coltscache.Piece(l.fingerprint[:len(home)])
+	}
 	return l.cfg.Policy.Choose(coltsrouting.Work{
-		Home:         l.home,
+		Home:         home,
+		Apart:        apart,
 		PromptTokens: l.prompt.Tokens(),
 		Holdings:     l.cfg.Directory.Locate(l.pieces, now),
 		Sources:      l.sources(now),
@@ -447,7 +459,8 @@
 	if until := l.cfg.Quarantine.Blocked(l.fingerprint, now); !until.IsZero() {
 		return l.refuse(l.refusalOf(f, now).At(until), now)
 	}
-	if !l.cfg.Budget.Spend(l.prompt.Organisation.ID) {
+	// An attempt that never left cost no upstream anything.
+	if f.Phase != coltsattempt.PhaseUnsent && !l.cfg.Budget.Spend(l.prompt.Organisation.ID) {
 		return l.refuse(l.refusalOf(f, now), now)
 	}
 	l.tried = append(l.tried, l.upstream())
@@ -464,12 +477,17 @@
 		l.cfg.Fleet.Abandoned(l.upstream())
 		return
 	}
-	l.cfg.Fleet.Failed(l.upstream(), now)
+	l.cfg.Fleet.Failed(l.upstream(), isGone(f), now)
 	if f.Crashed && f.Phase >= coltsattempt.PhaseSent {
-		l.cfg.Quarantine.Crashed(l.fingerprint, l.upstream(), now)
+		l.cfg.OnCrash(l.cfg.Quarantine.Crashed(l.fingerprint, l.upstream(), now))
 	}
 }
 
+// isGone says whether a failure shows that the upstream is not there at all.
+func isGone(f coltsattempt.Failure) bool {
+	return f.Crashed || f.Phase == coltsattempt.PhaseUnsent
+}
+
 func (l *Life) refusalOf(f coltsattempt.Failure, now time.Time) *coltsattempt.RefusedError {
 	reason := coltsattempt.ReasonUpstream
 	switch {
--- a/coltsrouting/policy.go
+++ b/coltsrouting/policy.go
@@ -27,6 +27,9 @@
 	Sources []coltscache.Source
 	// Tried lists the upstreams that failed this request.
 	Tried []coltsidentity.Upstream
+	// Apart places the work by its home alone, whatever the load: two pieces of
+	// work with different homes seldom meet.
+	Apart bool
 }
 
 // Choice is where the work goes.
@@ -93,6 +96,9 @@
 	if len(options) == 0 {
 		return Choice{}, false
 	}
+	if w.Apart {
+		return closestToHome(w, options), true
+	}
 	return p.choose(w, options, now), true
 }
 
--- a/coltssystem/system_failure_test.go
+++ b/coltssystem/system_failure_test.go
@@ -249,12 +249,17 @@
 	s := startSystem(t, func(c *Config) { c.Runners = 4 })
 	s.setFaults(coltsstandin.Faults{CrashOn: "POISON"})
 	client := seedPaper()
-	for i := range 6 {
-		r, err := client.Stream(s.Entries[0].CallerAddr(), promptOf("POISON", 0))
+	for i := range 8 {
+		// The entries find each other within a second or so of their start; the
+		// caller goes from one to the other.
+		if i == 1 {
+			await(t, "the other entry knows of it", func() bool { return s.Entries[1].Suspects() == 1 })
+		}
+		r, err := client.Stream(s.Entries[i%2].CallerAddr(), promptOf("POISON", 0))
 		assert.NilError(t, err)
 		assert.Assert(t, r.Refused(), "%d", i)
 	}
-	t.Run("at most two upstreams are lost at one entry", func(t *testing.T) {
+	t.Run("at most two upstreams are lost, whichever entry it is sent to", func(t *testing.T) {
 		alive := 0
 		for _, r := range s.Runners {
 			if r.Alive() {
