Let a stalled restore become a recompute, and restores go before exports.

Cause: with the stores' links at a tenth of their rate, returning prompts took three times as long as recomputing: exports filled the links, a restore was waited for piece by piece, nothing was learned from one that brought nothing, and moving on to another runner began all anew.

--- a/coltscache/link.go
+++ b/coltscache/link.go
@@ -15,6 +15,10 @@
 const (
 	// defaultPiecesPerSecond stands in until a restore was seen.
 	defaultPiecesPerSecond = 40.0
+	// minPiecesPerSecond is the slowest that a link is thought to be.
+	minPiecesPerSecond = 0.5
+	// stallFactor is what a stalled restore leaves of the estimate.
+	stallFactor = 0.6
 	// linkSmoothing is the weight of the newest restore.
 	linkSmoothing = 0.3
 )
@@ -81,6 +85,17 @@
 	k.piecesPerSecond = (1-linkSmoothing)*k.piecesPerSecond + linkSmoothing*seen
 }
 
+// Stalled takes a restore back of which nothing came in time. How slow the link is
+// can't be told from that, only that it is slower than was thought.
+func (l *Links) Stalled(store coltsidentity.Upstream, begun int) {
+	s := &l.shards[coltsshard.Of(store)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := s.get(store)
+	k.queued = max(0, k.queued-begun)
+	k.piecesPerSecond = max(minPiecesPerSecond, k.piecesPerSecond*stallFactor)
+}
+
 func (s *linkShard) get(store coltsidentity.Upstream) *link {
 	k, known := s.links[store]
 	if !known {
--- a/coltscache/restore_plan_test.go
+++ b/coltscache/restore_plan_test.go
@@ -63,6 +63,13 @@
 		l.End(store, 10, 0, 0)
 		assert.Equal(t, l.Estimate(store)(10), alone)
 	})
+	t.Run("a stalled restore lowers it too", func(t *testing.T) {
+		l := NewLinks()
+		before := l.Estimate(store)(10)
+		l.Begin(store, 10)
+		l.Stalled(store, 10)
+		assert.Assert(t, l.Estimate(store)(10) > before)
+	})
 	t.Run("a slow restore lowers the estimate", func(t *testing.T) {
 		l := NewLinks()
 		before := l.Estimate(store)(10)
--- a/coltsentry/entry_background.go
+++ b/coltsentry/entry_background.go
@@ -9,7 +9,6 @@
 	"net/netip"
 	"time"
 
-	"coltsfootstall/coltscache"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsmetric"
@@ -39,25 +38,20 @@
 	}
 	task := func() {
 		e.metrics.Add(coltsmetric.Exports, 1)
-		ctx := context.Background()
-		exported, err := e.client.Export(ctx, x.RunnerAddr, x.StoreAddr, x.Pieces, e.cfg.Now().Add(exportTimeout))
+		begun := e.cfg.Now()
+		exported, err := e.client.Export(context.Background(), x.RunnerAddr, x.StoreAddr, x.Pieces, begun.Add(exportTimeout))
 		if err != nil {
 			e.metrics.Add(coltsmetric.ExportsFailed, 1)
 			e.log.Debug("An export failed.", coltslog.Fields{"runner": x.Runner, "store": x.Store, "error": err})
-			return
 		}
-		e.directory.Record(exportedOf(x, exported), x.Store, e.cfg.Now())
+		e.coordinator.Exported(x, exported, begun, e.cfg.Now())
 	}
 	if _, queued := e.background.TrySubmit(task); !queued {
 		e.metrics.Add(coltsmetric.ExportsFailed, 1)
+		e.coordinator.Exported(x, 0, e.cfg.Now(), e.cfg.Now())
 	}
 }
 
-// exportedOf returns the leading pieces of an export that the store has taken.
-func exportedOf(x coltsrequest.Export, n int) []coltscache.Piece {
-	return x.Pieces[:min(n, len(x.Pieces))]
-}
-
 // cancelAttempt tells a runner that nobody waits for a request any more.
 func (e *Entry) cancelAttempt(id coltsidentity.Request, runner netip.AddrPort) {
 	if !runner.IsValid() {
--- a/coltsrequest/request_life.go
+++ b/coltsrequest/request_life.go
@@ -22,6 +22,8 @@
 	// lookupTimeout bounds the question to a store; recomputing a piece takes
 	// several times as long.
 	lookupTimeout = 25 * time.Millisecond
+	// maxExportTime is the longest time that an export may be expected to take.
+	maxExportTime = time.Second
 	// overdueFloor and overdueFactor say when a first token is overdue: after some
 	// multiple of the time that was expected, but not for a trifle.
 	overdueFloor  = 400 * time.Millisecond
@@ -250,11 +252,21 @@
 		Pieces:    l.pieces,
 		Restore:   choice.Restore,
 		ResumeAt:  l.delivered,
-		OverdueAt: now.Add(max(overdueFloor, overdueFactor*choice.Expected)),
+		OverdueAt: now.Add(l.patience()),
 		Deadline:  l.prompt.Deadline,
 	}}
 }
 
+// patience is how long the first token may take before it counts as overdue. A
+// restore that stalls becomes a recompute on the runner itself, so there must be
+// time for that, too: to begin anew elsewhere would be slower.
+func (l *Life) patience() time.Duration {
+	rate := float64(l.choice.Candidate.PrefillPerSecond)
+	recompute := time.Duration(float64(l.prompt.Tokens()) / rate * float64(time.Second))
+	whole := l.choice.Queue + recompute
+	return max(overdueFloor, overdueFactor*l.choice.Expected, whole+whole/2)
+}
+
 // Overdue takes in that the attempt under way has given no first token by the time
 // that its dispatch named. The action is another dispatch, for which the front end
 // cancels the attempt; or there is none and the front end waits on. A second
@@ -382,7 +394,11 @@
 	if plan.UpTo == 0 {
 		return
 	}
-	l.cfg.Links.End(plan.Store, plan.Pieces, came, took)
+	if l.prefilled && came == 0 && plan.Pieces > 0 {
+		l.cfg.Links.Stalled(plan.Store, plan.Pieces)
+	} else {
+		l.cfg.Links.End(plan.Store, plan.Pieces, came, took)
+	}
 	if l.prefilled && came < plan.Pieces {
 		l.cfg.Directory.Remove(l.pieces[plan.From+came:], plan.Store)
 		l.storeHeld = min(l.storeHeld, plan.From+came)
@@ -433,6 +449,12 @@
 	if held >= len(l.pieces) {
 		return Export{}
 	}
+	// Restores have the link first: what is kept can wait for a later turn.
+	lacking := len(l.pieces) - held
+	if l.cfg.Links.Estimate(store.Announcement.ID)(lacking) > maxExportTime {
+		return Export{}
+	}
+	l.cfg.Links.Begin(store.Announcement.ID, lacking)
 	return Export{
 		Runner:     l.upstream(),
 		RunnerAddr: l.choice.Candidate.Announcement.Addr,
@@ -442,6 +464,14 @@
 	}
 }
 
+// Exported takes in how many leading pieces of an export the store has taken, and
+// when it was begun.
+func (c *Coordinator) Exported(x Export, pieces int, begun, now time.Time) {
+	pieces = min(pieces, len(x.Pieces))
+	c.cfg.Links.End(x.Store, len(x.Pieces), pieces, now.Sub(begun))
+	c.cfg.Directory.Record(x.Pieces[:pieces], x.Store, now)
+}
+
 // Failed takes in that the attempt under way ended without the whole answer. The
 // action is another dispatch or a refusal.
 func (l *Life) Failed(f coltsattempt.Failure, now time.Time) Action {
