--- a/coltsattempt/quarantine.go
+++ b/coltsattempt/quarantine.go
@@ -21,6 +21,9 @@
 	crashesToQuarantine = 2
 	// quarantineRetention is how long a crash counts.
 	quarantineRetention = time.Hour
+	// clearedRetention is how long word from other entries is passed over after a
+	// request was cleared; they are told of a release within that time.
+	clearedRetention = time.Minute
 	// quarantinePerShard bounds the suspects that a shard remembers.
 	quarantinePerShard = 4096
 )
@@ -34,6 +37,14 @@
 	ForgetAt time.Time
 }
 
+// record is what a shard keeps of a request.
+type record struct {
+	suspect Suspect
+	// clearedUntil is until when word from other entries is passed over, since
+	// the request was cleared here after they had heard of it.
+	clearedUntil time.Time
+}
+
 // Quarantine counts crashes by fingerprint.
 type Quarantine struct {
 	shards [coltsshard.Count]quarantineShard
@@ -41,14 +52,14 @@
 
 type quarantineShard struct {
 	mu       sync.Mutex
-	suspects map[coltsidentity.Digest]Suspect
+	suspects map[coltsidentity.Digest]record
 }
 
 // NewQuarantine returns an empty quarantine.
 func NewQuarantine() *Quarantine {
 	q := &Quarantine{}
 	for i := range q.shards {
-		q.shards[i].suspects = map[coltsidentity.Digest]Suspect{}
+		q.shards[i].suspects = map[coltsidentity.Digest]record{}
 	}
 	return q
 }
@@ -65,11 +76,11 @@
 		Upstreams:   []coltsidentity.Upstream{upstream},
 		ForgetAt:    now.Add(quarantineRetention),
 	}
-	q.Merge(suspect, now)
 	s := q.shard(f)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.suspects[f]
+	s.mergeLocked(suspect, now)
+	return s.suspects[f].suspect
 }
 
 // Merge takes in what another entry knows of a request and says whether any of it
@@ -78,8 +89,15 @@
 	s := q.shard(other.Fingerprint)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if now.Before(s.suspects[other.Fingerprint].clearedUntil) {
+		return false
+	}
+	return s.mergeLocked(other, now)
+}
+
+func (s *quarantineShard) mergeLocked(other Suspect, now time.Time) bool {
 	s.forgetLocked(now)
-	suspect := s.suspects[other.Fingerprint]
+	suspect := s.suspects[other.Fingerprint].suspect
 	suspect.Fingerprint = other.Fingerprint
 	news := false
 	for _, upstream := range other.Upstreams {
@@ -91,7 +109,7 @@
 	if other.ForgetAt.After(suspect.ForgetAt) {
 		suspect.ForgetAt = other.ForgetAt
 	}
-	s.suspects[other.Fingerprint] = suspect
+	s.suspects[other.Fingerprint] = record{suspect: suspect}
 	return news
 }
 
@@ -102,16 +120,21 @@
 	s := q.shard(f)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	suspect, known := s.suspects[f]
-	return known && now.Before(suspect.ForgetAt)
+	suspect := s.suspects[f].suspect
+	return len(suspect.Upstreams) > 0 && now.Before(suspect.ForgetAt)
 }
 
-// Cleared forgets a suspect that ended well.
-func (q *Quarantine) Cleared(f coltsidentity.Digest) {
+// Cleared forgets a suspect that ended well or was released by an operator, and
+// passes over what other entries say of it for a while.
+func (q *Quarantine) Cleared(f coltsidentity.Digest, now time.Time) {
 	s := q.shard(f)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.suspects, f)
+	if _, known := s.suspects[f]; !known {
+		return
+	}
+	until := now.Add(clearedRetention)
+	s.suspects[f] = record{suspect: Suspect{Fingerprint: f, ForgetAt: until}, clearedUntil: until}
 }
 
 // Blocked returns until when a request is refused; zero if it may run.
@@ -119,8 +142,8 @@
 	s := q.shard(f)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	suspect, known := s.suspects[f]
-	if !known || !now.Before(suspect.ForgetAt) || len(suspect.Upstreams) < crashesToQuarantine {
+	suspect := s.suspects[f].suspect
+	if !now.Before(suspect.ForgetAt) || len(suspect.Upstreams) < crashesToQuarantine {
 		return time.Time{}
 	}
 	return suspect.ForgetAt
@@ -143,8 +166,10 @@
 	defer s.mu.Unlock()
 	s.forgetLocked(now)
 	suspects := make([]Suspect, 0, len(s.suspects))
-	for _, suspect := range s.suspects {
-		suspects = append(suspects, suspect)
+	for _, r := range s.suspects {
+		if len(r.suspect.Upstreams) > 0 {
+			suspects = append(suspects, r.suspect)
+		}
 	}
 	return suspects
 }
@@ -154,13 +179,13 @@
 func (s *quarantineShard) forgetLocked(now time.Time) {
 	var oldest coltsidentity.Digest
 	var oldestAt time.Time
-	for f, suspect := range s.suspects {
-		if !now.Before(suspect.ForgetAt) {
+	for f, r := range s.suspects {
+		if !now.Before(r.suspect.ForgetAt) {
 			delete(s.suspects, f)
 			continue
 		}
-		if oldestAt.IsZero() || suspect.ForgetAt.Before(oldestAt) {
-			oldest, oldestAt = f, suspect.ForgetAt
+		if oldestAt.IsZero() || r.suspect.ForgetAt.Before(oldestAt) {
+			oldest, oldestAt = f, r.suspect.ForgetAt
 		}
 	}
 	if len(s.suspects) >= quarantinePerShard {
--- a/coltscontrol/control.go
+++ b/coltscontrol/control.go
@@ -156,24 +156,16 @@
 func (c *Control) stopping() bool { return c.running.Err() != nil }
 
 // Addr returns where other instances and operators reach this one.
-func (c *Control) Addr() netip.AddrPort { return addrOf(c.listener) }
+func (c *Control) Addr() netip.AddrPort { return coltslink.AddrOf(c.listener) }
 
 // OperatorAddr returns where operators find health, readiness and metrics.
-func (c *Control) OperatorAddr() netip.AddrPort { return addrOf(c.operators) }
+func (c *Control) OperatorAddr() netip.AddrPort { return coltslink.AddrOf(c.operators) }
 
 // Revision returns the document's revision in force.
 func (c *Control) Revision() coltsdocument.Revision {
 	return c.machine.Register.Current().Revision
 }
 
-func addrOf(ln net.Listener) netip.AddrPort {
-	tcp, ok := ln.Addr().(*net.TCPAddr)
-	if !ok {
-		return netip.AddrPort{}
-	}
-	return tcp.AddrPort()
-}
-
 // beat renews this instance's own entry in the roster until ctx ends.
 func (c *Control) beat(ctx context.Context) {
 	ticker := time.NewTicker(beatPeriod)
--- a/coltsentry/control_link.go
+++ b/coltsentry/control_link.go
@@ -14,6 +14,7 @@
 	"coltsfootstall/coltsbooking"
 	"coltsfootstall/coltslink"
 	"coltsfootstall/coltslog"
+	"coltsfootstall/coltsloop"
 	"coltsfootstall/coltsmembership"
 	"coltsfootstall/coltsstate"
 	"coltsfootstall/coltsusage"
@@ -84,24 +85,12 @@
 			return nil
 		}
 		l.next(i)
-		if (n+1)%len(l.clients) == 0 && !pause(ctx, retryPause) {
+		if (n+1)%len(l.clients) == 0 && !coltsloop.Pause(ctx, retryPause) {
 			return errors.Wrap(err, "no control instance answered")
 		}
 	}
 }
 
-// pause waits and says whether ctx still runs.
-func pause(ctx context.Context, span time.Duration) bool {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // follow keeps the newest document in force until ctx ends. It begins with one
 // that a quorum confirms, so that a process that starts does not serve by an old
 // document; only if no quorum can be had for long does it take what any control
@@ -127,7 +116,7 @@
 				coltslog.Fields{"control": l.addrs[i], "error": err})
 		}
 		l.next(i)
-		pause(ctx, retryPause)
+		coltsloop.Pause(ctx, retryPause)
 	}
 }
 
--- a/coltsentry/entry_background.go
+++ b/coltsentry/entry_background.go
@@ -11,6 +11,7 @@
 
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslog"
+	"coltsfootstall/coltsloop"
 	"coltsfootstall/coltsmetric"
 	"coltsfootstall/coltsrequest"
 )
@@ -67,16 +68,7 @@
 
 // reportUsage hands over what was used until ctx ends.
 func (e *Entry) reportUsage(ctx context.Context) {
-	ticker := time.NewTicker(usagePeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			e.flushUsage(ctx)
-		}
-	}
+	coltsloop.Every(ctx, usagePeriod, func() { e.flushUsage(ctx) })
 }
 
 // flushUsage sends the batches that wait, until one fails.
--- a/coltsentry/entry_listeners.go
+++ b/coltsentry/entry_listeners.go
@@ -111,21 +111,10 @@
 // Printf does nothing.
 func (quietLogger) Printf(string, ...any) {}
 
-func addrOf(ln net.Listener) netip.AddrPort {
-	if ln == nil {
-		return netip.AddrPort{}
-	}
-	tcp, ok := ln.Addr().(*net.TCPAddr)
-	if !ok {
-		return netip.AddrPort{}
-	}
-	return tcp.AddrPort()
-}
-
-func (l *listeners) callerAddr() netip.AddrPort   { return addrOf(l.callers.listener) }
-func (l *listeners) upstreamAddr() netip.AddrPort { return addrOf(l.upstreams.listener) }
-func (l *listeners) operatorAddr() netip.AddrPort { return addrOf(l.operators.listener) }
-func (l *listeners) peerAddr() netip.AddrPort     { return addrOf(l.peers) }
+func (l *listeners) callerAddr() netip.AddrPort   { return coltslink.AddrOf(l.callers.listener) }
+func (l *listeners) upstreamAddr() netip.AddrPort { return coltslink.AddrOf(l.upstreams.listener) }
+func (l *listeners) operatorAddr() netip.AddrPort { return coltslink.AddrOf(l.operators.listener) }
+func (l *listeners) peerAddr() netip.AddrPort     { return coltslink.AddrOf(l.peers) }
 
 // underWay returns the number of callers' connections.
 func (l *listeners) underWay() int {
--- a/coltsentry/peer_link.go
+++ b/coltsentry/peer_link.go
@@ -15,6 +15,7 @@
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslink"
 	"coltsfootstall/coltslog"
+	"coltsfootstall/coltsloop"
 	"coltsfootstall/coltsmembership"
 	"coltsfootstall/coltsmetric"
 	"coltsfootstall/coltswire"
@@ -29,6 +30,8 @@
 	spreadGather = 100 * time.Millisecond
 	// comparePeriod is how often an entry compares its document with a peer's.
 	comparePeriod = time.Second
+	// maxSuspects bounds the suspects in one message.
+	maxSuspects = 16
 	// shareTimeout bounds one message to a peer.
 	shareTimeout = time.Second
 )
@@ -104,7 +107,7 @@
 			return
 		case <-l.news:
 		}
-		if !pause(ctx, spreadGather) {
+		if !coltsloop.Pause(ctx, spreadGather) {
 			return
 		}
 		sent = l.spreadOnce(ctx, sent)
@@ -142,6 +145,17 @@
 	}
 }
 
+// suspects returns the messages of a bounded number of suspects.
+func (l *peerLink) suspects() []*coltspb.Suspect {
+	var messages []*coltspb.Suspect
+	for _, s := range l.e.quarantine.Suspects(l.e.cfg.Now()) {
+		if len(messages) < maxSuspects {
+			messages = append(messages, coltswire.EncodeSuspect(s))
+		}
+	}
+	return messages
+}
+
 // tellSuspect passes on at once that a request has crashed its upstream: its caller
 // may already be sending it to another entry. Who hears it for the first time
 // passes it on in turn.
@@ -154,11 +168,12 @@
 }
 
 // compare asks one peer after another for a newer document until ctx ends, so
-// that an entry whose link to control has gone silent does not stay behind.
+// that an entry whose link to control has gone silent does not stay behind. It also
+// tells of suspects again, for those who missed the first word of them.
 func (l *peerLink) compare(ctx context.Context) {
-	for pause(ctx, comparePeriod) {
+	for coltsloop.Pause(ctx, comparePeriod) {
 		for _, p := range l.pick(1) {
-			l.share(ctx, p, &coltspb.ShareRequest{})
+			l.share(ctx, p, &coltspb.ShareRequest{Suspects: l.suspects()})
 		}
 	}
 }
@@ -207,7 +222,7 @@
 // Suspects lists the requests that crash upstreams and releases one if asked.
 func (l *peerLink) Suspects(_ context.Context, r *coltspb.SuspectsRequest) (*coltspb.SuspectsReply, error) {
 	if len(r.GetRelease()) == len(coltsidentity.Digest{}) {
-		l.e.quarantine.Cleared(coltsidentity.Digest(r.GetRelease()))
+		l.e.quarantine.Cleared(coltsidentity.Digest(r.GetRelease()), l.e.cfg.Now())
 	}
 	reply := &coltspb.SuspectsReply{}
 	for _, s := range l.e.quarantine.Suspects(l.e.cfg.Now()) {
--- a/coltslink/link_http.go
+++ b/coltslink/link_http.go
@@ -79,3 +79,15 @@
 func URL(addr netip.AddrPort) string {
 	return "http://" + addr.String()
 }
+
+// AddrOf returns where a TCP listener listens, or the zero address for nil.
+func AddrOf(ln net.Listener) netip.AddrPort {
+	if ln == nil {
+		return netip.AddrPort{}
+	}
+	tcp, ok := ln.Addr().(*net.TCPAddr)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	return tcp.AddrPort()
+}
