Test and fuzz the readers of settings, documents and callers' bodies.

A model's name such as "@w1" named no model and was let through to the look-up; it is a bad body now.

--- a/coltscodec/prompt_request.go
+++ b/coltscodec/prompt_request.go
@@ -75,6 +75,9 @@
 		return PromptRequest{}, &BodyError{Param: "model", Reason: "is missing"}
 	}
 	r.Model, r.Version, r.Adapter = splitModel(string(name))
+	if r.Model == "" {
+		return PromptRequest{}, &BodyError{Param: "model", Reason: "names no model"}
+	}
 	r.Text, err = appendText(make([]byte, 0, len(body)), v)
 	if err != nil {
 		return PromptRequest{}, err
