Test the reports and listings by the command line.

Cause: report burn, report spend and suspects were run by hand only. Change: a test over real processes.

--- a/coltsprocess/process_document_test.go
+++ b/coltsprocess/process_document_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"coltsfootstall/coltscaller"
 	"coltsfootstall/coltssystem"
 )
 
@@ -92,6 +93,37 @@
 	})
 }
 
+func TestReports(t *testing.T) {
+	c := startCluster(t, 2, 1)
+	at := "--control=" + c.controlAddr.String()
+	client := coltscaller.New(coltscaller.Config{Key: coltssystem.KeySeedPaper})
+	for i := range 2 {
+		r, err := client.Stream(c.callers(i), promptOf("report", 3))
+		assertWhole(t, 3, r, err)
+	}
+
+	t.Run("burn adds up the entries", func(t *testing.T) {
+		assertRuns(t, "", "objective first-token: first token within 460ms for 950 in 1000", "report", "burn", at)
+		assertRuns(t, "", "0 of 2", "report", "burn", at)
+		assertRuns(t, "", `"burn-rate": 0`, "report", "burn", "--json", at)
+	})
+	t.Run("spend tells computed from reused", func(t *testing.T) {
+		assert.NilError(t, coltssystem.Await(conditionTimeout, "use is reported", func() bool {
+			out, status := run(t, "", "report", "spend", "--json", at)
+			return status == 0 && strings.Contains(out, `"requests": 2`)
+		}))
+		assertRuns(t, "", "REUSED %", "report", "spend", at)
+	})
+	t.Run("suspects are none", func(t *testing.T) {
+		assertRuns(t, "", "", "suspects", at)
+		assertFails(t, "", "is not a fingerprint", "suspects", "--release=x", at)
+	})
+	t.Run("settings and metrics are listed with their units", func(t *testing.T) {
+		assertRuns(t, "", "entry/silence-timeout", "settings", "list")
+		assertRuns(t, "", "answers-crossed", "metrics", "list")
+	})
+}
+
 func TestSettingsErrors(t *testing.T) {
 	cases := []struct{ name, text, want string }{
 		{"an unknown setting is named with a near miss", "{\n\"entry\": {\n\"caler-address\": \"127.0.0.1:1\"}}",
