Let a replica that is being removed finish what it began, and keep its promises.

Cause: schedules in which the group changes often found two faults. Change: a replica that only an uncommitted configuration leaves out may stand and does not count its own vote; an only voter stands at once only if it never ran. The simulation changes the group in 5, 50 or 300 of a thousand steps, through every leader that thinks it leads.

--- a/coltsreplica/replica.go
+++ b/coltsreplica/replica.go
@@ -153,8 +153,9 @@
 	// What this voter promised before a restart is forgotten, so it is kept as if
 	// it had been promised just now.
 	n.leaseUntil = now.Add(cfg.ElectionAfter)
-	if len(n.log.configuration.Voters) == 1 && n.log.configuration.IsVoter(cfg.ID) {
-		// Nobody else could lead, so there is nothing to wait for.
+	neverRan := r.HardState == HardState{}
+	if neverRan && len(n.log.configuration.Voters) == 1 && n.log.configuration.IsVoter(cfg.ID) {
+		// Nobody else could lead, and nothing was promised to anybody.
 		n.electionAt = now
 	}
 	return n
@@ -221,7 +222,7 @@
 		return
 	}
 	n.resetElection(now)
-	if n.log.configuration.IsVoter(n.cfg.ID) {
+	if n.mayCampaign() {
 		n.campaign(RolePreCandidate, now)
 	}
 }
--- a/coltsreplica/replica_campaign.go
+++ b/coltsreplica/replica_campaign.go
@@ -47,6 +47,18 @@
 	n.resetElection(now)
 }
 
+// mayCampaign says whether this replica may stand for election: as a voter, or as
+// one that an uncommitted configuration leaves out. The latter may be the only one
+// whose log is long enough to lead until that configuration is committed; it does
+// not count its own vote.
+func (n *Replica) mayCampaign() bool {
+	if n.log.configuration.IsVoter(n.cfg.ID) {
+		return true
+	}
+	uncommitted := n.log.configurationAt > n.commit
+	return uncommitted && n.log.configurationUpTo(n.commit).IsVoter(n.cfg.ID)
+}
+
 // campaign asks for votes, first without a new term.
 func (n *Replica) campaign(role Role, now time.Time) {
 	n.role = role
--- a/coltsreplica/replica_simulation_test.go
+++ b/coltsreplica/replica_simulation_test.go
@@ -86,6 +86,10 @@
 	order   []ID
 	network []envelope
 	calm    bool
+	// changes is how often the group changes, in thousandths of the steps: in
+	// some schedules so often that several changes are under way at once, if
+	// nothing forbids it.
+	changes int
 	cut     map[ID]bool
 	// leaders holds who led each term, committed what is committed at each index.
 	leaders   map[uint64]ID
@@ -103,6 +107,7 @@
 		leaders:   map[uint64]ID{},
 		committed: map[uint64]Entry{},
 	}
+	s.changes = []int{5, 50, 300}[s.rng.IntN(3)]
 	first := Configuration{}
 	for i := range 1 + 2*s.rng.IntN(3) {
 		first.Voters = append(first.Voters, ID(fmt.Sprintf("r%d", i)))
@@ -168,8 +173,8 @@
 	case m.down && (s.calm || s.chance(100)):
 		s.boot(m)
 	}
-	if s.chance(5) {
-		s.changeMembership(m)
+	if s.chance(s.changes) {
+		s.changeMembership()
 	}
 	s.deliver()
 	for _, id := range s.order {
@@ -303,20 +308,24 @@
 	m.replica.Compact(m.appliedAt)
 }
 
-// changeMembership asks a leader for a random change.
-func (s *simulation) changeMembership(m *member) {
-	if m.down || m.replica.Role() != RoleLeader {
-		return
-	}
-	id := s.order[s.rng.IntN(len(s.order))]
-	switch s.rng.IntN(3) {
-	case 0:
-		_ = m.replica.AddLearner(id)
-	case 1:
-		_ = m.replica.Promote(id)
-	case 2:
-		if len(m.replica.Configuration().Voters) > 1 {
-			_ = m.replica.Remove(id)
+// changeMembership asks every leader, also one that does not know yet that it is
+// deposed, for a random change.
+func (s *simulation) changeMembership() {
+	for _, id := range s.order {
+		m := s.members[id]
+		if m.down || m.replica.Role() != RoleLeader {
+			continue
+		}
+		other := s.order[s.rng.IntN(len(s.order))]
+		switch s.rng.IntN(3) {
+		case 0:
+			_ = m.replica.AddLearner(other)
+		case 1:
+			_ = m.replica.Promote(other)
+		case 2:
+			if len(m.replica.Configuration().Voters) > 1 {
+				_ = m.replica.Remove(other)
+			}
 		}
 	}
 }
