Remove a header, a reason and a parser that nothing uses.

Cause: reading the whole change again; each was declared and never called. Measured: vet and the tests of the packages that held them pass; no behaviour changes.

--- a/coltsattempt/outcome_refusal.go
+++ b/coltsattempt/outcome_refusal.go
@@ -47,7 +47,6 @@
 	ReasonUpstream      Reason = "upstream-failed"
 	ReasonBroken        Reason = "stream-broken"
 	ReasonCallerLeft    Reason = "caller-left"
-	ReasonShuttingDown  Reason = "shutting-down"
 	ReasonNotReady      Reason = "not-ready"
 	ReasonUnknownResult Reason = "result-unknown"
 )
--- a/coltscodec/refusal_body.go
+++ b/coltscodec/refusal_body.go
@@ -39,7 +39,6 @@
 	coltsattempt.ReasonKeyReused:     http.StatusUnprocessableEntity,
 	coltsattempt.ReasonInProgress:    http.StatusConflict,
 	coltsattempt.ReasonNoLedger:      http.StatusServiceUnavailable,
-	coltsattempt.ReasonShuttingDown:  http.StatusServiceUnavailable,
 	coltsattempt.ReasonNotReady:      http.StatusServiceUnavailable,
 	coltsattempt.ReasonUnknownResult: http.StatusConflict,
 }
--- a/coltscodec/upstream_message.go
+++ b/coltscodec/upstream_message.go
@@ -32,19 +32,18 @@
 
 // Headers of the protocol.
 const (
-	HeaderRequest    = "Colts-Request"
-	HeaderAttempt    = "Colts-Attempt"
-	HeaderPieces     = "Colts-Pieces"
-	HeaderVersion    = "Colts-Version"
-	HeaderRestore    = "Colts-Restore"
-	HeaderResumeAt   = "Colts-Resume-At"
-	HeaderQueued     = "Colts-Queued"
-	HeaderOutcome    = "Colts-Outcome"
-	HeaderCrossed    = "Colts-Crossed"
-	HeaderUpstream   = "Colts-Upstream"
-	HeaderReplayed   = "Colts-Replayed"
-	HeaderDigest     = "Colts-Digest"
-	HeaderGeneration = "Colts-Generation"
+	HeaderRequest  = "Colts-Request"
+	HeaderAttempt  = "Colts-Attempt"
+	HeaderPieces   = "Colts-Pieces"
+	HeaderVersion  = "Colts-Version"
+	HeaderRestore  = "Colts-Restore"
+	HeaderResumeAt = "Colts-Resume-At"
+	HeaderQueued   = "Colts-Queued"
+	HeaderOutcome  = "Colts-Outcome"
+	HeaderCrossed  = "Colts-Crossed"
+	HeaderUpstream = "Colts-Upstream"
+	HeaderReplayed = "Colts-Replayed"
+	HeaderDigest   = "Colts-Digest"
 )
 
 // Prefixes of the comment lines that a runner puts into its streams.
--- a/coltsidentity/identity.go
+++ b/coltsidentity/identity.go
@@ -60,19 +60,6 @@
 	return r
 }
 
-// ParseRequest reads the form that String writes and says whether it was valid.
-func ParseRequest(s string) (Request, bool) {
-	var r Request
-	if len(s) != 2*requestBytes {
-		return Request{}, false
-	}
-	_, err := hex.Decode(r[:], []byte(s))
-	if err != nil {
-		return Request{}, false
-	}
-	return r, true
-}
-
 // String returns the identity as 32 hexadecimal digits.
 func (r Request) String() string {
 	return hex.EncodeToString(r[:])
