--- /dev/null
+++ b/coltsbalance/balance_upstream.go
@@ -0,0 +1,125 @@
+// Package coltsbalance is the aggregate of the upstreams as one entry instance sees
+// them: which of a service's upstreams a request goes to.
+//
+// What control says of an upstream is combined with what this instance saw itself:
+// how much it has sent there that is not answered, and what failed lately.
+package coltsbalance
+
+// A prompt's parts are kept by the runner that read them, so requests that share
+// parts go to the same runner as long as that one is not loaded above the others. The
+// runner follows from the part's name alone, so instances agree without a message.
+
+import (
+	"fmt"
+	"time"
+
+	"coltsfootstall/coltsidentity"
+	"coltsfootstall/coltsregistry"
+	"coltsfootstall/coltsweights"
+)
+
+const (
+	// restFirst and restMost bound how long an upstream is left alone after a
+	// failure; the time doubles with each failure in a row.
+	restFirst = 200 * time.Millisecond
+	restMost  = 5 * time.Second
+	// provenFor is how long an answer speaks for an upstream that has fallen silent
+	// towards control.
+	provenFor = 2 * time.Second
+	// loadSlack is how far above the others' mean load the home of a prompt may be
+	// and still get it, as a factor and in requests.
+	loadFactor = 1.5
+	loadSlack  = 3
+)
+
+// Demand is what a request asks of an upstream.
+type Demand struct {
+	Service coltsidentity.Service
+	// Affinity names what the request shares with others; empty for nothing.
+	Affinity []byte
+	// Weight is the work that it means, in requests of ordinary size.
+	Weight float64
+	// Exclude are upstreams that were tried already.
+	Exclude []coltsidentity.Upstream
+}
+
+// Choice is an upstream that a request goes to. It counts as loaded until Done.
+type Choice struct {
+	Upstream coltsregistry.Upstream
+	Weight   float64
+	// Running is the number of this instance's requests there, this one included.
+	Running int
+	// Home says that it is the upstream that the demand's affinity leads to.
+	Home bool
+}
+
+// Weights returns the version of a model that the upstream has, 0 if unknown.
+func (c Choice) Weights(model coltsidentity.Model) coltsweights.Number {
+	for _, w := range c.Upstream.Weights {
+		if w.Model == model {
+			return w.Number
+		}
+	}
+	return 0
+}
+
+// Outcome says how a request at an upstream ended, as far as it speaks for or against
+// the upstream.
+type Outcome int
+
+// The outcomes.
+const (
+	// OutcomeUntold says nothing of the upstream.
+	OutcomeUntold Outcome = iota
+	// OutcomeAnswered is an answer, of whatever kind.
+	OutcomeAnswered
+	// OutcomeFull is a refusal because it had no room.
+	OutcomeFull
+	// OutcomeFailed is no answer, or a broken one.
+	OutcomeFailed
+)
+
+// NoUpstreamError reports that a service has no upstream to send to.
+type NoUpstreamError struct {
+	Service coltsidentity.Service
+	// Known is the number of its upstreams of any state.
+	Known int
+}
+
+// Error names the service.
+func (e *NoUpstreamError) Error() string {
+	return fmt.Sprintf("service %q has no usable upstream of %d known", e.Service, e.Known)
+}
+
+// upstream is what this instance knows of one.
+type upstream struct {
+	record  coltsregistry.Upstream
+	silent  bool
+	running int
+	load    float64
+	// failures counts those in a row; restUntil is until when it is left alone.
+	failures  int
+	restUntil time.Time
+	// provenUntil is until when an answer speaks for it.
+	provenUntil time.Time
+}
+
+// usable says whether new work may be sent at all.
+func (u *upstream) usable(now time.Time) bool {
+	return u.record.State == coltsregistry.StateReady && (!u.silent || now.Before(u.provenUntil))
+}
+
+func (u *upstream) rests(now time.Time) bool { return now.Before(u.restUntil) }
+
+// note takes in how a request ended.
+func (u *upstream) note(outcome Outcome, now time.Time) {
+	switch outcome {
+	case OutcomeAnswered:
+		u.failures = 0
+		u.provenUntil = now.Add(provenFor)
+	case OutcomeFull, OutcomeFailed:
+		rest := min(restMost, restFirst<<min(u.failures, 10))
+		u.failures++
+		u.restUntil = now.Add(rest)
+	}
+}
--- /dev/null
+++ b/coltsbalance/balancer.go
@@ -0,0 +1,205 @@
+package coltsbalance
+
+// Upstreams stand in shards by identity. A choice looks at the shards one after
+// another and then takes its upstream's lock once more; between the two another
+// request may have been sent there, which costs a little balance and no promise.
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"coltsfootstall/coltsidentity"
+	"coltsfootstall/coltsregistry"
+	"coltsfootstall/coltsshard"
+)
+
+// Balancer holds the upstreams. It may be used concurrently.
+type Balancer struct {
+	shards [coltsshard.Count]balancerShard
+}
+
+type balancerShard struct {
+	mu        sync.Mutex
+	upstreams map[coltsidentity.Upstream]*upstream
+}
+
+// New returns a balancer that knows no upstream.
+func New() *Balancer {
+	b := &Balancer{}
+	for i := range b.shards {
+		b.shards[i].upstreams = map[coltsidentity.Upstream]*upstream{}
+	}
+	return b
+}
+
+// Update takes in what control believes of an upstream. What is older than what is
+// known is passed over.
+func (b *Balancer) Update(e coltsregistry.Entry) {
+	id := e.Upstream.ID
+	s := &b.shards[coltsshard.Of(id)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u, known := s.upstreams[id]
+	if !known {
+		u = &upstream{}
+		s.upstreams[id] = u
+	}
+	older := known && (e.Upstream.Born.Before(u.record.Born) ||
+		e.Upstream.Born.Equal(u.record.Born) && e.Upstream.State < u.record.State &&
+			e.Upstream.Sequence <= u.record.Sequence)
+	if older {
+		return
+	}
+	if known && e.Upstream.Born.After(u.record.Born) {
+		u.failures, u.restUntil = 0, time.Time{}
+	}
+	u.record, u.silent = e.Upstream, e.Silent
+}
+
+// Forget drops the upstreams that left, except those with requests under way, and
+// those for which keep says no.
+func (b *Balancer) Forget(keep func(coltsidentity.Upstream) bool) {
+	for i := range b.shards {
+		s := &b.shards[i]
+		s.mu.Lock()
+		for id, u := range s.upstreams {
+			if u.running == 0 && !keep(id) {
+				delete(s.upstreams, id)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// candidate is an upstream as a choice sees it.
+type candidate struct {
+	id    coltsidentity.Upstream
+	load  float64
+	rests bool
+	rank  uint64
+}
+
+// Choose returns the upstream for a demand and counts it as loaded there. It returns
+// a NoUpstreamError if the service has none.
+func (b *Balancer) Choose(d Demand, now time.Time) (Choice, error) {
+	candidates, known := b.candidates(d, now)
+	for len(candidates) > 0 {
+		i, home := pick(d, candidates)
+		choice, ok := b.take(candidates[i].id, d, now)
+		if ok {
+			choice.Home = home
+			return choice, nil
+		}
+		candidates = slices.Delete(candidates, i, i+1)
+	}
+	return Choice{}, &NoUpstreamError{Service: d.Service, Known: known}
+}
+
+// candidates returns the upstreams that may be chosen: those that don't rest, or all
+// if all rest.
+func (b *Balancer) candidates(d Demand, now time.Time) ([]candidate, int) {
+	var all []candidate
+	known, awake := 0, 0
+	for i := range b.shards {
+		s := &b.shards[i]
+		s.mu.Lock()
+		for id, u := range s.upstreams {
+			if u.record.Service != d.Service {
+				continue
+			}
+			known++
+			if !u.usable(now) || slices.Contains(d.Exclude, id) {
+				continue
+			}
+			c := candidate{id: id, load: u.load, rests: u.rests(now), rank: coltsshard.Rank(d.Affinity, id)}
+			if !c.rests {
+				awake++
+			}
+			all = append(all, c)
+		}
+		s.mu.Unlock()
+	}
+	if awake > 0 {
+		all = slices.DeleteFunc(all, func(c candidate) bool { return c.rests })
+	}
+	return all, known
+}
+
+// pick returns the index of the candidate to take and whether it is the demand's
+// home. A demand without affinity goes to the least loaded one.
+func pick(d Demand, candidates []candidate) (int, bool) {
+	least, total := 0, 0.0
+	for i, c := range candidates {
+		total += c.load
+		if c.load < candidates[least].load || c.load == candidates[least].load && c.rank > candidates[least].rank {
+			least = i
+		}
+	}
+	if len(d.Affinity) == 0 {
+		return least, false
+	}
+	bound := loadFactor*total/float64(len(candidates)) + loadSlack
+	best, home := -1, 0
+	for i, c := range candidates {
+		if c.rank > candidates[home].rank {
+			home = i
+		}
+		if c.load <= bound && (best < 0 || c.rank > candidates[best].rank) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return least, false
+	}
+	return best, best == home
+}
+
+// take counts a request at an upstream unless it has become unusable.
+func (b *Balancer) take(id coltsidentity.Upstream, d Demand, now time.Time) (Choice, bool) {
+	s := &b.shards[coltsshard.Of(id)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u, known := s.upstreams[id]
+	if !known || !u.usable(now) {
+		return Choice{}, false
+	}
+	u.running++
+	u.load += d.Weight
+	return Choice{Upstream: u.record, Weight: d.Weight, Running: u.running}, true
+}
+
+// Done takes a choice's load off and notes how the request ended.
+func (b *Balancer) Done(c Choice, outcome Outcome, now time.Time) {
+	s := &b.shards[coltsshard.Of(c.Upstream.ID)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u, known := s.upstreams[c.Upstream.ID]
+	if !known {
+		return
+	}
+	u.running--
+	u.load -= c.Weight
+	if u.running <= 0 {
+		u.running, u.load = 0, 0
+	}
+	if u.record.Born.Equal(c.Upstream.Born) {
+		u.note(outcome, now)
+	}
+}
+
+// Usable returns the number of a service's upstreams that take new work.
+func (b *Balancer) Usable(service coltsidentity.Service, now time.Time) int {
+	n := 0
+	for i := range b.shards {
+		s := &b.shards[i]
+		s.mu.Lock()
+		for _, u := range s.upstreams {
+			if u.record.Service == service && u.usable(now) {
+				n++
+			}
+		}
+		s.mu.Unlock()
+	}
+	return n
+}
--- /dev/null
+++ b/coltsbalance/balancer_test.go
@@ -0,0 +1,120 @@
+package coltsbalance
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootstall/coltsidentity"
+	"coltsfootstall/coltsregistry"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+func entry(id string, state coltsregistry.State, sequence uint64) coltsregistry.Entry {
+	return coltsregistry.Entry{Upstream: coltsregistry.Upstream{
+		ID: coltsidentity.Upstream(id), Service: "llm", Slots: 4, State: state, Born: now, Sequence: sequence,
+	}}
+}
+
+func newBalancer(n int) *Balancer {
+	b := New()
+	for i := range n {
+		b.Update(entry(fmt.Sprint("r", i), coltsregistry.StateReady, 1))
+	}
+	return b
+}
+
+func choose(t *testing.T, b *Balancer, d Demand) Choice {
+	t.Helper()
+	d.Service = "llm"
+	if d.Weight == 0 {
+		d.Weight = 1
+	}
+	c, err := b.Choose(d, now)
+	assert.NilError(t, err)
+	return c
+}
+
+func assertNone(t *testing.T, b *Balancer) {
+	t.Helper()
+	_, err := b.Choose(Demand{Service: "llm", Weight: 1}, now)
+	var none *NoUpstreamError
+	assert.Assert(t, errors.As(err, &none), "got %v", err)
+}
+
+func TestChoose(t *testing.T) {
+	t.Run("work without affinity is spread evenly", func(t *testing.T) {
+		b, counts := newBalancer(4), map[coltsidentity.Upstream]int{}
+		for range 40 {
+			counts[choose(t, b, Demand{}).Upstream.ID]++
+		}
+		for id, n := range counts {
+			assert.Equal(t, n, 10, "%s", id)
+		}
+	})
+	t.Run("what shares a part goes to one place in every instance", func(t *testing.T) {
+		first := choose(t, newBalancer(6), Demand{Affinity: []byte("part")})
+		again := choose(t, newBalancer(6), Demand{Affinity: []byte("part")})
+		assert.Equal(t, first.Upstream.ID, again.Upstream.ID)
+		assert.Assert(t, first.Home)
+	})
+	t.Run("a home that is loaded above the others is passed over", func(t *testing.T) {
+		b, counts := newBalancer(4), map[coltsidentity.Upstream]int{}
+		for range 40 {
+			counts[choose(t, b, Demand{Affinity: []byte("part")}).Upstream.ID]++
+		}
+		for id, n := range counts {
+			assert.Assert(t, float64(n) <= loadFactor*10+loadSlack+1, "%s has %d", id, n)
+		}
+	})
+	t.Run("what was tried is not chosen again", func(t *testing.T) {
+		b := newBalancer(2)
+		first := choose(t, b, Demand{})
+		second := choose(t, b, Demand{Exclude: []coltsidentity.Upstream{first.Upstream.ID}})
+		assert.Assert(t, first.Upstream.ID != second.Upstream.ID)
+	})
+}
+
+func TestUpdate(t *testing.T) {
+	t.Run("a draining upstream gets nothing", func(t *testing.T) {
+		b := newBalancer(1)
+		b.Update(entry("r0", coltsregistry.StateDraining, 2))
+		assertNone(t, b)
+	})
+	t.Run("an older word does not bring it back", func(t *testing.T) {
+		b := newBalancer(1)
+		b.Update(entry("r0", coltsregistry.StateGone, 2))
+		b.Update(entry("r0", coltsregistry.StateReady, 1))
+		assertNone(t, b)
+	})
+	t.Run("a silent upstream is used only while answers speak for it", func(t *testing.T) {
+		b := newBalancer(1)
+		c := choose(t, b, Demand{})
+		silent := entry("r0", coltsregistry.StateReady, 1)
+		silent.Silent = true
+		b.Update(silent)
+		assertNone(t, b)
+		b.Done(c, OutcomeAnswered, now)
+		choose(t, b, Demand{})
+	})
+}
+
+func TestDone(t *testing.T) {
+	t.Run("one that failed rests while others are there", func(t *testing.T) {
+		b := newBalancer(2)
+		c := choose(t, b, Demand{})
+		b.Done(c, OutcomeFailed, now)
+		for range 5 {
+			assert.Assert(t, choose(t, b, Demand{}).Upstream.ID != c.Upstream.ID)
+		}
+	})
+	t.Run("one that failed is used if there is no other", func(t *testing.T) {
+		b := newBalancer(1)
+		b.Done(choose(t, b, Demand{}), OutcomeFailed, now)
+		choose(t, b, Demand{})
+	})
+}
--- a/coltscommand/command_instance.go
+++ b/coltscommand/command_instance.go
@@ -7,13 +7,18 @@
 	"context"
 	"os/signal"
 	"syscall"
+	"time"
 
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
 	"coltsfootstall/coltscontrol"
 	"coltsfootstall/coltsentry"
+	"coltsfootstall/coltsgateway"
 	"coltsfootstall/coltslog"
+	"coltsfootstall/coltsloop"
 	"coltsfootstall/coltssettings"
+	"coltsfootstall/platform"
 )
 
 func commandEntry() *cli.Command {
@@ -27,6 +32,17 @@
 	}
 }
 
+func commandGateway() *cli.Command {
+	return &cli.Command{
+		Name:  "gateway",
+		Usage: "run a gateway instance: forward callers' requests by the route table",
+		Description: "Stops gracefully on SIGTERM: readiness fails at once, running answers end whole.\n" +
+			"Example:\n   coltsfootstall gateway --settings gateway.jsonc",
+		Flags:  []cli.Flag{settingsFlag()},
+		Action: runGateway,
+	}
+}
+
 func commandControl() *cli.Command {
 	return &cli.Command{
 		Name:  "control",
@@ -55,7 +71,7 @@
 
 func newLog(c *cli.Command, s coltssettings.Settings) *coltslog.Log {
 	return coltslog.New(coltslog.Config{
-		Output:   c.ErrWriter,
+		Output:   coltslog.NewQueue(c.Root().Writer),
 		Level:    s.LogLevel,
 		JSON:     s.LogJSON,
 		Instance: s.Instance,
@@ -66,6 +82,9 @@
 type instance struct {
 	start    func() error
 	shutdown func() error
+	// broken is closed when the instance can't go on and must be started again; nil
+	// if that never happens.
+	broken <-chan struct{}
 }
 
 // runInstance starts an instance and stops it when asked.
@@ -75,10 +94,23 @@
 	if err := i.start(); err != nil {
 		return err
 	}
-	<-ctx.Done()
-	return i.shutdown()
+	select {
+	case <-ctx.Done():
+		return i.shutdown()
+	case <-i.broken:
+	}
+	// The disk may fail for a while; a restart reads what it holds.
+	coltsloop.Pause(ctx, brokenPause)
+	if err := i.shutdown(); err != nil {
+		return err
+	}
+	return errors.New("the disk failed")
 }
 
+// brokenPause is how long a broken instance waits before it ends, so that it is not
+// started again many times a second while its disk still fails.
+const brokenPause = time.Second
+
 func runEntry(ctx context.Context, c *cli.Command) error {
 	settings, err := loadSettings(c)
 	if err != nil {
@@ -96,9 +128,40 @@
 	if err != nil {
 		return err
 	}
-	control, err := coltscontrol.New(coltscontrol.Config{Settings: settings, Log: newLog(c, settings)})
+	log := newLog(c, settings)
+	control, err := coltscontrol.New(coltscontrol.Config{Settings: settings, Log: log})
 	if err != nil {
 		return err
 	}
-	return runInstance(ctx, instance{start: control.Start, shutdown: control.Shutdown})
+	i := instance{start: control.Start, shutdown: control.Shutdown, broken: control.Broken()}
+	if !settings.Control.ServiceAddr.IsValid() {
+		return runInstance(ctx, i)
+	}
+	service := platform.NewControlServer(platform.ControlConfig{Addr: settings.Control.ServiceAddr, Control: control, Log: log})
+	i.start = inOrder(control.Start, service.Start)
+	i.shutdown = inOrder(service.Shutdown, control.Shutdown)
+	return runInstance(ctx, i)
+}
+
+func runGateway(ctx context.Context, c *cli.Command) error {
+	settings, err := loadSettings(c)
+	if err != nil {
+		return err
+	}
+	gateway := coltsgateway.New(coltsgateway.Config{
+		Settings: settings, Dialect: platform.Dialect(), Log: newLog(c, settings),
+	})
+	return runInstance(ctx, instance{start: gateway.Start, shutdown: gateway.Shutdown})
+}
+
+// inOrder returns a function that calls others until one fails.
+func inOrder(steps ...func() error) func() error {
+	return func() error {
+		for _, step := range steps {
+			if err := step(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
 }
--- a/coltscommand/command_table.go
+++ b/coltscommand/command_table.go
@@ -20,6 +20,7 @@
 var commandTable = []func() *cli.Command{
 	commandTry,
 	commandEntry,
+	commandGateway,
 	commandControl,
 	commandDocument,
 	commandStatus,
--- a/coltscontrol/control.go
+++ b/coltscontrol/control.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,6 +24,8 @@
 	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsmembership"
 	"coltsfootstall/coltsmetric"
+	"coltsfootstall/coltsregistry"
+	"coltsfootstall/coltsroute"
 	"coltsfootstall/coltssettings"
 	"coltsfootstall/coltsstate"
 	"coltsfootstall/coltsusage"
@@ -62,6 +65,19 @@
 	machine *coltsstate.Machine
 	roster  *coltsmembership.Roster
 	driver  *replicaDriver
+	// replicaID names this instance in the group. In a group that forms itself it
+	// names one incarnation, and founders are those that the group began with.
+	replicaID coltsidentity.Instance
+	founders  []coltsidentity.Instance
+	// registry holds the upstreams that report to control; registrySource names
+	// it, because its revisions count only here.
+	registry       *coltsregistry.Registry
+	registrySource string
+	// routes is the newest route table that this instance has applied.
+	routes atomic.Pointer[coltsroute.Text]
+	// news is fired when routes, weights, registry or group have changed.
+	news *signal
+
 	// revised is fired when a document comes into force, reported when an
 	// instance reports itself, led when the leader changes.
 	revised  *signal
@@ -94,10 +110,17 @@
 		revised:  newSignal(),
 		reported: newSignal(),
 		led:      newSignal(),
+		news:     newSignal(),
+		registry: coltsregistry.NewRegistry(coltsregistry.Config{SilentAfter: cfg.Settings.Control.SilentAfter}),
 	}
+	c.registrySource = string(c.id()) + " " + c.started.Format(time.RFC3339Nano)
+	c.routes.Store(&coltsroute.Text{})
 	if err := c.loadInitialDocument(); err != nil {
 		return nil, err
 	}
+	if err := c.identify(); err != nil {
+		return nil, err
+	}
 	driver, err := openDriver(c)
 	if err != nil {
 		return nil, err
@@ -128,8 +151,10 @@
 	c.operator = &fasthttp.Server{Handler: c.serveOperator, Name: "coltsfootstall", CloseOnShutdown: true}
 	c.running, c.stop = context.WithCancel(context.Background())
 	c.loops.Go(func() { c.driver.run(c.running) })
-	for _, other := range c.driver.others {
-		c.loops.Go(func() { other.run(c.running) })
+	c.driver.others.start(c.running)
+	if c.formsItself() {
+		c.loops.Go(func() { c.keepGroup(c.running) })
+		c.loops.Go(func() { c.keepRegistry(c.running) })
 	}
 	c.loops.Go(func() { c.bootstrap(c.running) })
 	c.loops.Go(func() { c.giveOrders(c.running) })
@@ -161,6 +186,9 @@
 // OperatorAddr returns where operators find health, readiness and metrics.
 func (c *Control) OperatorAddr() netip.AddrPort { return coltslink.AddrOf(c.operators) }
 
+// Broken is closed when the disk has failed and this instance takes no more part.
+func (c *Control) Broken() <-chan struct{} { return c.driver.brokeDown }
+
 // Revision returns the document's revision in force.
 func (c *Control) Revision() coltsdocument.Revision {
 	return c.machine.Register.Current().Revision
@@ -221,6 +249,7 @@
 	}
 	_ = c.operator.ShutdownWithContext(ctx)
 	c.loops.Wait()
+	c.driver.others.wait()
 	if closeErr := c.driver.close(); err == nil {
 		err = closeErr
 	}
--- a/coltscontrol/control_forward.go
+++ b/coltscontrol/control_forward.go
@@ -19,7 +19,7 @@
 	if v.leads {
 		return nil, nil
 	}
-	other, known := c.driver.others[v.leader]
+	other, known := c.driver.others.find(v.leader)
 	if forwarded || !known {
 		return nil, unavailable(&coltsreplica.NotLeaderError{Leader: v.leader})
 	}
--- a/coltscontrol/control_server.go
+++ b/coltscontrol/control_server.go
@@ -57,6 +57,9 @@
 	if err := s.authorise(&command, r.GetOperatorKey()); err != nil {
 		return &coltspb.SubmitReply{Refusal: coltswire.EncodeRefusal(err)}, nil
 	}
+	if err := s.c.checkFormed(); err != nil {
+		return nil, unavailable(err)
+	}
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	result, err := s.c.driver.submit(ctx, command)
--- a/coltscontrol/driver_output.go
+++ b/coltscontrol/driver_output.go
@@ -12,6 +12,7 @@
 	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsmetric"
 	"coltsfootstall/coltsreplica"
+	"coltsfootstall/coltsroute"
 	"coltsfootstall/coltsstate"
 	"coltsfootstall/coltswire"
 )
@@ -48,7 +49,7 @@
 		d.replica.Persisted(out.Entries[n-1].Index, out.Entries[n-1].Term)
 	}
 	d.send(out.Messages)
-	before := d.c.Revision()
+	before, routes := d.c.Revision(), d.c.machine.Routes().Version
 	if out.Install != nil {
 		if err := d.importState(*out.Install); err != nil {
 			return err
@@ -62,12 +63,13 @@
 	}
 	d.answerReads(out.Reads)
 	d.revise(before)
+	d.reviseRoutes(routes)
 	return nil
 }
 
 func (d *replicaDriver) send(messages []coltsreplica.Message) {
 	for _, m := range messages {
-		if other, known := d.others[m.To]; known {
+		if other, known := d.others.find(m.To); known {
 			other.send(m)
 		}
 	}
@@ -139,6 +141,19 @@
 	d.c.revised.fire()
 }
 
+// reviseRoutes wakes those that wait for a newer route table or weight version.
+func (d *replicaDriver) reviseRoutes(before coltsroute.Version) {
+	text := d.c.machine.Routes()
+	if text.Version != before {
+		d.c.routes.Store(&text)
+		d.c.log.Info("A route table is in force.", coltslog.Fields{"version": text.Version, "before": before})
+	}
+	if _, revision := d.c.machine.Weights.All(); text.Version != before || revision != d.weightsRevision {
+		d.weightsRevision = revision
+		d.c.news.fire()
+	}
+}
+
 // breakDown ends this replica's part after its disk has failed.
 func (d *replicaDriver) breakDown(err error) {
 	d.c.log.Error("The disk failed; this instance takes no more part and acknowledges nothing.", coltslog.Fields{"error": err})
@@ -146,6 +161,7 @@
 	v := *d.view.Load()
 	v.broken, v.leads, v.leader, v.inTouchUntil = true, false, "", time.Time{}
 	d.view.Store(&v)
+	close(d.brokeDown)
 }
 
 // publish lets other goroutines know what the replica knows.
--- /dev/null
+++ b/coltscontrol/registry_loop.go
@@ -0,0 +1,180 @@
+package coltscontrol
+
+// The leader keeps the registry of upstreams; the other instances hold a copy of it,
+// so that the next leader knows at once what the last one knew. Nothing of it is on
+// a disk: upstreams report themselves every second or so.
+
+import (
+	"context"
+	"time"
+
+	"coltsfootstall/coltslog"
+	"coltsfootstall/coltswire"
+	"coltsfootstall/coltswire/coltspb"
+)
+
+const (
+	// sweepPeriod is how often the leader looks for upstreams that fell silent.
+	sweepPeriod = 500 * time.Millisecond
+	// mirrorWait is how long a question of a copy to the leader is kept waiting,
+	// mirrorTimeout how long its answer may take.
+	mirrorWait    = time.Second
+	mirrorTimeout = 2 * time.Second
+)
+
+// keepRegistry keeps the registry, or a copy of the leader's, until ctx ends.
+func (c *Control) keepRegistry(ctx context.Context) {
+	ticker := time.NewTicker(sweepPeriod)
+	defer ticker.Stop()
+	m := &registryMirror{c: c}
+	led := false
+	for ctx.Err() == nil {
+		leads := c.driver.view.Load().leads
+		if leads && !led {
+			c.registry.Renew(c.cfg.Now())
+		}
+		led = leads
+		if !leads && m.follow(ctx) {
+			continue
+		}
+		if leads {
+			c.sweepRegistry()
+		}
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+func (c *Control) sweepRegistry() {
+	silent := c.registry.Sweep(c.cfg.Now())
+	for _, u := range silent {
+		c.log.Warn("An upstream fell silent.", coltslog.Fields{"upstream": u.ID, "address": u.Addr, "sequence": u.Sequence})
+	}
+	if len(silent) > 0 {
+		c.news.fire()
+	}
+}
+
+// registryMirror copies the leader's registry.
+type registryMirror struct {
+	c        *Control
+	source   string
+	revision uint64
+}
+
+// follow asks the leader once for what is new and says whether it answered.
+func (m *registryMirror) follow(ctx context.Context) bool {
+	leader, known := m.c.driver.others.find(m.c.driver.view.Load().leader)
+	if !known {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, mirrorTimeout)
+	defer cancel()
+	reply, err := leader.control.Watch(ctx, &coltspb.WatchRequest{
+		RoutesVersion:    uint64(m.c.routes.Load().Version),
+		Source:           m.source,
+		RegistryRevision: m.revision,
+		WaitNanos:        int64(mirrorWait),
+		RegistryOnly:     true,
+	})
+	if err != nil {
+		return false
+	}
+	m.source, m.revision = reply.GetSource(), reply.GetRegistryRevision()
+	news := false
+	for _, e := range coltswire.DecodeRegistryEntries(reply.GetEntries()) {
+		news = m.c.registry.Mirror(e, m.c.cfg.Now()) || news
+	}
+	if news {
+		m.c.news.fire()
+	}
+	return true
+}
+
+// Report takes in what an upstream reports of itself, at the leader.
+func (s *controlServer) Report(ctx context.Context, r *coltspb.ReportRequest) (*coltspb.ReportReply, error) {
+	leader, err := s.c.leaderOf(r.GetForwarded())
+	if err != nil {
+		return nil, err
+	}
+	if leader != nil {
+		r.Forwarded = true
+		return leader.Report(ctx, r)
+	}
+	u := coltswire.DecodeReportedUpstream(r.GetUpstream())
+	now := s.c.cfg.Now()
+	changed := false
+	if r.GetLeaving() {
+		changed = s.c.registry.Leave(u.ID, u.Born, now)
+	} else {
+		changed, err = s.c.registry.Report(u, now)
+	}
+	if err != nil {
+		s.c.log.Info("A report was passed over.", coltslog.Fields{"upstream": u.ID, "sequence": u.Sequence, "reason": err})
+	}
+	if changed {
+		s.c.log.Info("An upstream changed.", coltslog.Fields{
+			"upstream": u.ID, "service": u.Service, "address": u.Addr, "state": u.State,
+			"leaving": r.GetLeaving(), "sequence": u.Sequence, "weights": u.Weights,
+		})
+		s.c.news.fire()
+	}
+	return &coltspb.ReportReply{Leader: string(s.c.replicaID)}, nil
+}
+
+// Watch answers as soon as something is newer than what the asker has.
+func (s *controlServer) Watch(ctx context.Context, r *coltspb.WatchRequest) (*coltspb.WatchReply, error) {
+	if r.GetMember() != nil {
+		s.c.roster.Heartbeat(coltswire.DecodeMember(r.GetMember()), s.c.cfg.Now())
+	}
+	timer := time.NewTimer(time.Duration(r.GetWaitNanos()))
+	defer timer.Stop()
+	for {
+		news := s.c.news.wait()
+		if !s.c.inTouch() || r.GetRegistryOnly() && !s.c.driver.view.Load().leads {
+			return nil, unavailable(errOutOfTouch)
+		}
+		reply, isNews := s.watched(r)
+		if isNews || s.c.stopping() {
+			return reply, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, unavailable(ctx.Err())
+		case <-timer.C:
+			return reply, nil
+		case <-news:
+		}
+	}
+}
+
+// watched returns what is newer than what the asker has, and whether anything is.
+func (s *controlServer) watched(r *coltspb.WatchRequest) (*coltspb.WatchReply, bool) {
+	reply := &coltspb.WatchReply{Source: s.c.registrySource}
+	known := r.GetSource() == s.c.registrySource
+	var after uint64
+	if known {
+		after = r.GetRegistryRevision()
+	}
+	entries, upTo := s.c.registry.Since(after)
+	reply.Entries, reply.RegistryRevision, reply.Whole = coltswire.EncodeRegistryEntries(entries), upTo, !known
+	isNews := !known || len(entries) > 0
+	if r.GetRegistryOnly() {
+		return reply, isNews
+	}
+	if text := s.c.routes.Load(); uint64(text.Version) > r.GetRoutesVersion() {
+		reply.Routes = coltswire.EncodeRoutesText(*text)
+		isNews = true
+	}
+	named, revision := s.c.machine.Weights.All()
+	reply.WeightsRevision = revision
+	if !known || revision != r.GetWeightsRevision() {
+		reply.Weights = coltswire.EncodeNamed(named)
+		isNews = true
+	}
+	reply.Controls = s.c.controlAddrs()
+	reply.EntryInstances = int32(s.c.liveEntries())
+	return reply, isNews
+}
--- a/coltscontrol/replica_driver.go
+++ b/coltscontrol/replica_driver.go
@@ -41,7 +41,7 @@
 	c       *Control
 	store   *replicaStore
 	replica *coltsreplica.Replica
-	others  map[coltsidentity.Instance]*otherControl
+	others  *otherControls
 
 	proposals chan *pendingCommand
 	incoming  chan []coltsreplica.Message
@@ -65,6 +65,10 @@
 	snapshotBytes int
 	saving        bool
 	hard          coltsreplica.HardState
+	// weightsRevision is that of the named weights when others were last woken.
+	weightsRevision uint64
+	// brokeDown is closed when the disk has failed.
+	brokeDown chan struct{}
 }
 
 // replicaView is a copy of what the replica knows.
@@ -88,7 +92,7 @@
 func openDriver(c *Control) (*replicaDriver, error) {
 	d := &replicaDriver{
 		c:         c,
-		others:    map[coltsidentity.Instance]*otherControl{},
+		others:    newOtherControls(c.settings.Replicas, c.replicaID),
 		proposals: make(chan *pendingCommand, queueLength),
 		incoming:  make(chan []coltsreplica.Message, incomingLength),
 		reads:     make(chan *pendingRead, queueLength),
@@ -97,6 +101,7 @@
 		snapshots: pond.NewPool(1),
 		waiting:   map[uint64]*pendingCommand{},
 		barriers:  map[uint64]*pendingRead{},
+		brokeDown: make(chan struct{}),
 	}
 	store, restored, err := openStore(coltsjournal.Config{
 		Dir:          c.settings.DataFolder,
@@ -112,24 +117,22 @@
 	}
 	d.hard = restored.HardState
 	d.replica = coltsreplica.New(coltsreplica.Config{
-		ID:             c.id(),
+		ID:             c.replicaID,
 		HeartbeatEvery: heartbeatEvery,
 		ElectionAfter:  electionAfter,
 		ClockMargin:    clockMargin,
 		Random:         rand.Int64N,
 		LoadSnapshot:   d.loadSnapshot,
 	}, restored, c.cfg.Now())
-	for _, r := range c.settings.Replicas {
-		if id := coltsidentity.Instance(r.Instance); id != c.id() {
-			d.others[id] = newOtherControl(id, r.Addr)
-		}
-	}
 	d.publish()
 	return d, nil
 }
 
 // firstConfiguration is that of a group which has never run.
 func (c *Control) firstConfiguration() coltsreplica.Configuration {
+	if c.formsItself() {
+		return coltsreplica.Configuration{Voters: c.founders}
+	}
 	var first coltsreplica.Configuration
 	for _, r := range c.settings.Replicas {
 		if !r.Joins {
--- a/coltscontrol/replica_transport.go
+++ b/coltscontrol/replica_transport.go
@@ -7,11 +7,14 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslink"
+	"coltsfootstall/coltsmembership"
 	"coltsfootstall/coltsreplica"
+	"coltsfootstall/coltssettings"
 	"coltsfootstall/coltswire"
 	"coltsfootstall/coltswire/coltspb"
 	"coltsfootstall/coltswire/coltspb/coltspbconnect"
@@ -43,6 +46,59 @@
 	}
 }
 
+// otherControls are the links to the other control instances. The settings name
+// them, or their identities hold their addresses.
+type otherControls struct {
+	self coltsidentity.Instance
+
+	mu    sync.Mutex
+	links map[coltsidentity.Instance]*otherControl
+	// running is nil until the links may deliver.
+	running context.Context
+	loops   sync.WaitGroup
+}
+
+func newOtherControls(replicas []coltssettings.Replica, self coltsidentity.Instance) *otherControls {
+	o := &otherControls{self: self, links: map[coltsidentity.Instance]*otherControl{}}
+	for _, r := range replicas {
+		if id := coltsidentity.Instance(r.Instance); id != self {
+			o.links[id] = newOtherControl(id, r.Addr)
+		}
+	}
+	return o
+}
+
+// start lets the links deliver until ctx ends.
+func (o *otherControls) start(ctx context.Context) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.running = ctx
+	for _, link := range o.links {
+		o.loops.Go(func() { link.run(ctx) })
+	}
+}
+
+// wait returns when all links have ended.
+func (o *otherControls) wait() { o.loops.Wait() }
+
+// find returns the link to an instance, made now if its identity holds its address.
+func (o *otherControls) find(id coltsidentity.Instance) (*otherControl, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if link, known := o.links[id]; known {
+		return link, true
+	}
+	addr, known := coltsmembership.AddrOf(id)
+	if !known || id == o.self || o.running == nil {
+		return nil, false
+	}
+	link := newOtherControl(id, addr)
+	o.links[id] = link
+	ctx := o.running
+	o.loops.Go(func() { link.run(ctx) })
+	return link, true
+}
+
 // send queues a message, or drops it if the queue is full.
 func (o *otherControl) send(m coltsreplica.Message) {
 	select {
--- a/coltsentry/caller_prompt.go
+++ b/coltsentry/caller_prompt.go
@@ -18,6 +18,7 @@
 	"coltsfootstall/coltsmetric"
 	"coltsfootstall/coltsrequest"
 	"coltsfootstall/coltsupstream"
+	"coltsfootstall/coltswatch"
 )
 
 func serveChat(e *Entry, ctx *fasthttp.RequestCtx, org coltsdocument.Organisation) {
@@ -39,13 +40,13 @@
 	}
 	d := e.newPromptDriver(ctx, org, read)
 	conn := watchedOf(ctx)
-	conn.watch(d.cancel)
+	conn.Watch(d.cancel)
 	if read.Stream {
 		e.streamAnswer(ctx, d, conn)
 		return
 	}
 	defer d.cancel()
-	defer conn.unwatch()
+	defer conn.Unwatch()
 	e.wholeAnswer(ctx, d)
 }
 
@@ -93,11 +94,11 @@
 }
 
 // streamAnswer serves a request whose answer is streamed.
-func (e *Entry) streamAnswer(ctx *fasthttp.RequestCtx, d *promptDriver, conn *watchedConn) {
+func (e *Entry) streamAnswer(ctx *fasthttp.RequestCtx, d *promptDriver, conn *coltswatch.Conn) {
 	body := &answerBody{d: d, conn: conn}
 	refusal := d.begin(body.readFirst)
 	if refusal != nil {
-		conn.unwatch()
+		conn.Unwatch()
 		d.cancel()
 		e.refuse(ctx, refusal)
 		return
@@ -113,7 +114,7 @@
 // has come, so that each part is written to the caller at once.
 type answerBody struct {
 	d    *promptDriver
-	conn *watchedConn
+	conn *coltswatch.Conn
 	// pending are bytes not yet handed out; last says that none follow.
 	pending []byte
 	last    bool
@@ -192,7 +193,7 @@
 
 // Close is called when the answer was written or the caller is gone.
 func (b *answerBody) Close() error {
-	b.conn.unwatch()
+	b.conn.Unwatch()
 	b.d.callerLeft(b.d.e.cfg.Now())
 	b.d.cancel()
 	b.d.e.metrics.Add(coltsmetric.RequestsUnderWay, -1)
@@ -217,8 +218,8 @@
 }
 
 // watchedOf returns the caller's connection.
-func watchedOf(ctx *fasthttp.RequestCtx) *watchedConn {
-	c, ok := ctx.Conn().(*watchedConn)
+func watchedOf(ctx *fasthttp.RequestCtx) *coltswatch.Conn {
+	c, ok := ctx.Conn().(*coltswatch.Conn)
 	if !ok {
 		// Only servers of watchListener serve prompts.
 		panic("caller's connection can't be watched")
--- a/coltsentry/entry_listeners.go
+++ b/coltsentry/entry_listeners.go
@@ -15,6 +15,7 @@
 
 	"coltsfootstall/coltslink"
 	"coltsfootstall/coltslog"
+	"coltsfootstall/coltswatch"
 	"coltsfootstall/coltswire/coltspb/coltspbconnect"
 )
 
@@ -44,7 +45,7 @@
 
 func (l *listeners) open(e *Entry) error {
 	var err error
-	l.callers, err = listen(e.settings.CallerAddr, e.serveCaller, e.settings.MaxBodyBytes, watchListener)
+	l.callers, err = listen(e.settings.CallerAddr, e.serveCaller, e.settings.MaxBodyBytes, coltswatch.Listen)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/coltsgateway/control_watch.go
@@ -0,0 +1,250 @@
+package coltsgateway
+
+// The instance learns everything from control: it holds one question open at one
+// control instance, preferably the leader, and is answered as soon as something is
+// newer. Its own clock and the number of the answer bound how old its knowledge is.
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"coltsfootstall/coltsidentity"
+	"coltsfootstall/coltslink"
+	"coltsfootstall/coltslog"
+	"coltsfootstall/coltsmembership"
+	"coltsfootstall/coltsmetric"
+	"coltsfootstall/coltswire"
+	"coltsfootstall/coltswire/coltspb"
+	"coltsfootstall/coltswire/coltspb/coltspbconnect"
+)
+
+const (
+	// watchWait is how long a question is kept waiting for news, watchTimeout how
+	// long its answer may take: a change must be in force within two seconds even if
+	// the connection over which it would come has gone silent.
+	watchWait    = 500 * time.Millisecond
+	watchTimeout = 900 * time.Millisecond
+	// watchPause is the pause after every known control instance has failed.
+	watchPause = 100 * time.Millisecond
+	// avoidTime is how long a leader that did not answer is not preferred: cut links
+	// heal within seconds, and the others answer meanwhile.
+	avoidTime = 3 * time.Second
+	// forgetGrace is how long a registry must have been told of before the upstreams
+	// that it lacks are forgotten: several of their reports.
+	forgetGrace = 10 * time.Second
+)
+
+// controlWatcher follows control. Its loop is the only writer.
+type controlWatcher struct {
+	g       *Gateway
+	clients map[netip.AddrPort]coltspbconnect.ControlClient
+	// known are the control instances, the leader first; seeds stand behind them.
+	known []netip.AddrPort
+	at    int
+	// source is the registry that revision and weights count in, since when it has
+	// been followed, and heard the upstreams that it named.
+	source      string
+	sourceSince time.Time
+	weights     uint64
+	revision    uint64
+	heard       map[coltsidentity.Upstream]bool
+	inTouch     bool
+	// failedAt is when an instance last failed to answer.
+	failedAt map[netip.AddrPort]time.Time
+	// heardAt is when control last answered.
+	heardAt atomic.Pointer[time.Time]
+}
+
+func newControlWatcher(g *Gateway) *controlWatcher {
+	return &controlWatcher{
+		g:       g,
+		clients: map[netip.AddrPort]coltspbconnect.ControlClient{},
+		heard:   map[coltsidentity.Upstream]bool{},
+
+		failedAt: map[netip.AddrPort]time.Time{},
+	}
+}
+
+// run follows control until ctx ends.
+func (w *controlWatcher) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		addrs := w.addrs()
+		addr := addrs[w.at%len(addrs)]
+		reply, err := w.ask(ctx, addr)
+		if err != nil {
+			w.lost(addr, err)
+			w.at++
+			if w.at%len(addrs) == 0 {
+				w.pause(ctx)
+			}
+			continue
+		}
+		w.take(addr, reply)
+	}
+}
+
+func (w *controlWatcher) pause(ctx context.Context) {
+	timer := time.NewTimer(watchPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// addrs returns the control instances to ask, in order.
+func (w *controlWatcher) addrs() []netip.AddrPort {
+	addrs := slices.Clone(w.known)
+	for _, seed := range w.g.settings.Seeds {
+		addr := netip.AddrPortFrom(seed.Addr(), uint16(w.g.settings.ControlPort))
+		if !slices.Contains(addrs, addr) {
+			addrs = append(addrs, addr)
+		}
+	}
+	return addrs
+}
+
+func (w *controlWatcher) ask(ctx context.Context, addr netip.AddrPort) (*coltspb.WatchReply, error) {
+	client, known := w.clients[addr]
+	if !known {
+		client = coltspbconnect.NewControlClient(coltslink.NewClient(coltslink.Config{}), coltslink.URL(addr))
+		w.clients[addr] = client
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	return client.Watch(ctx, &coltspb.WatchRequest{
+		Member: coltswire.EncodeMember(coltsmembership.Member{
+			ID:         coltsidentity.Instance(w.g.cfg.Settings.Instance),
+			Role:       coltsmembership.RoleEntry,
+			DataCentre: coltsidentity.DataCentre(w.g.cfg.Settings.DataCentre),
+			Started:    w.g.started,
+			Ready:      w.g.isReady(),
+		}),
+		RoutesVersion:    uint64(w.g.routes.Version()),
+		Source:           w.source,
+		WeightsRevision:  w.weights,
+		RegistryRevision: w.revision,
+		WaitNanos:        int64(watchWait),
+	})
+}
+
+// lost takes in that a control instance did not answer.
+func (w *controlWatcher) lost(addr netip.AddrPort, err error) {
+	w.g.metrics.Add(coltsmetric.WatchFailures, 1)
+	w.failedAt[addr] = w.g.now()
+	if !w.inTouch {
+		return
+	}
+	w.inTouch = false
+	w.g.log.Warn("Control was lost; what is known stays in force.", coltslog.Fields{
+		"asked": addr, "error": err, "routes": w.g.routes.Version(),
+	})
+}
+
+// take takes in an answer.
+func (w *controlWatcher) take(addr netip.AddrPort, reply *coltspb.WatchReply) {
+	now := w.g.now()
+	w.heardAt.Store(&now)
+	if !w.inTouch {
+		w.inTouch = true
+		w.g.log.Info("Control answers.", coltslog.Fields{"asked": addr, "source": reply.GetSource()})
+	}
+	w.takeRoutes(reply)
+	if w.source != reply.GetSource() {
+		w.source, w.sourceSince = reply.GetSource(), now
+		clear(w.heard)
+	}
+	if reply.GetWeightsRevision() != w.weights || len(reply.GetWeights()) > 0 {
+		w.weights = reply.GetWeightsRevision()
+		w.takeWeights(reply)
+	}
+	w.revision = reply.GetRegistryRevision()
+	w.takeEntries(reply, now)
+	if n := reply.GetEntryInstances(); n > 0 {
+		w.g.instances.Store(int64(n))
+	}
+	w.takeControls(addr, reply.GetControls())
+}
+
+func (w *controlWatcher) takeRoutes(reply *coltspb.WatchReply) {
+	text := reply.GetRoutes()
+	if text == nil {
+		return
+	}
+	table, err := w.g.dialect.DecodeTable(text.GetSource())
+	if err == nil {
+		err = table.Validate()
+	}
+	if err != nil {
+		w.g.log.Error("A route table can't be read; the one before stays in force.", coltslog.Fields{
+			"version": text.GetVersion(), "error": err,
+		})
+		return
+	}
+	before := w.g.routes.Version()
+	if w.g.routes.Put(table) {
+		w.g.metrics.Put(coltsmetric.RoutesVersion, int64(table.Version))
+		w.g.log.Info("A route table is in force.", coltslog.Fields{
+			"version": table.Version, "before": before, "routes": len(table.Routes), "organisations": len(table.Organisations),
+		})
+	}
+}
+
+func (w *controlWatcher) takeWeights(reply *coltspb.WatchReply) {
+	for _, n := range coltswire.DecodeNamed(reply.GetWeights()) {
+		if w.g.weights.Name(n) {
+			w.g.log.Info("A weight version is wanted.", coltslog.Fields{"model": n.Model, "number": n.Number})
+		}
+	}
+}
+
+// takeEntries takes in what changed in the registry. Upstreams that a whole registry
+// lacks are forgotten only once it has been followed for long enough to know all.
+func (w *controlWatcher) takeEntries(reply *coltspb.WatchReply, now time.Time) {
+	for _, e := range coltswire.DecodeRegistryEntries(reply.GetEntries()) {
+		w.heard[e.Upstream.ID] = true
+		w.g.balancer.Update(e)
+		w.g.log.Info("An upstream changed.", coltslog.Fields{
+			"upstream": e.Upstream.ID, "service": e.Upstream.Service, "address": e.Upstream.Addr,
+			"state": e.Upstream.State, "silent": e.Silent, "sequence": e.Upstream.Sequence,
+			"weights": e.Upstream.Weights, "source": w.source,
+		})
+	}
+	if len(reply.GetEntries()) > 0 && now.Sub(w.sourceSince) > forgetGrace {
+		w.g.balancer.Forget(func(id coltsidentity.Upstream) bool { return w.heard[id] })
+	}
+	w.g.metrics.Put(coltsmetric.Upstreams, int64(len(w.heard)))
+}
+
+// takeControls takes in where the group is, and moves on to its leader.
+func (w *controlWatcher) takeControls(asked netip.AddrPort, texts []string) {
+	var addrs []netip.AddrPort
+	for _, text := range texts {
+		addr, err := netip.ParseAddrPort(text)
+		if err != nil {
+			w.g.log.Warn("Control named an address that can't be read.", coltslog.Fields{"address": text, "error": err})
+			continue
+		}
+		addrs = append(addrs, addr)
+	}
+	if len(addrs) == 0 {
+		return
+	}
+	w.known = addrs
+	w.at = max(0, slices.Index(addrs, asked))
+	if w.g.now().Sub(w.failedAt[addrs[0]]) > avoidTime {
+		w.at = 0
+	}
+}
+
+// age returns how long ago control last answered.
+func (w *controlWatcher) age(now time.Time) time.Duration {
+	heardAt := w.heardAt.Load()
+	if heardAt == nil {
+		return now.Sub(w.g.started)
+	}
+	return now.Sub(*heardAt)
+}
--- /dev/null
+++ b/coltsgateway/forward_report.go
@@ -0,0 +1,44 @@
+package coltsgateway
+
+// What is logged and measured of a request: one line at its end, one for each attempt
+// that failed, one for a refusal.
+
+import (
+	"context"
+
+	"coltsfootstall/coltsattempt"
+	"coltsfootstall/coltsmetric"
+)
+
+func (f *forwarding) logAttempt(failure *attemptError, verdict coltsattempt.Verdict) {
+	fields := f.logFields(f.life.Asked.ID)
+	fields["upstream"], fields["running"] = f.choice.Upstream.ID, f.choice.Running
+	fields["phase"], fields["verdict"], fields["cause"] = failure.Phase, verdict, failure.Detail
+	f.g.log.Info("An attempt failed.", fields)
+}
+
+func (f *forwarding) logRefusal(id string, refused *coltsattempt.RefusedError, r Refusal) {
+	fields := f.logFields(id)
+	fields["status"], fields["outcome"], fields["reason"] = r.Status, refused.Outcome, refused.Reason
+	fields["cause"], fields["retry-after-ms"] = refused.Detail, r.RetryAfter.Milliseconds()
+	f.g.log.Warn("A request was refused.", fields)
+}
+
+// report logs and measures how a request ended.
+func (f *forwarding) report(ctx context.Context) {
+	now := f.g.now()
+	fields := f.logFields(f.life.Asked.ID)
+	fields["upstreams"], fields["status"], fields["whole"] = f.from, f.status, f.endedWell
+	fields["weights"] = f.choice.Weights(f.life.Asked.Model)
+	fields["home"], fields["running"] = f.choice.Home, f.choice.Running
+	if !f.firstAt.IsZero() {
+		fields["first-ms"] = f.firstAt.Sub(f.life.Arrived).Milliseconds()
+		f.g.latency.record(string(f.life.Route.Name)+" first", f.firstAt.Sub(f.life.Arrived))
+	}
+	f.g.latency.record(string(f.life.Route.Name)+" whole", now.Sub(f.life.Arrived))
+	if ctx.Err() != nil {
+		f.g.metrics.Add(coltsmetric.CallerLeft, 1)
+		fields["caller-left"] = true
+	}
+	f.g.log.Info("A request ended.", fields)
+}
--- /dev/null
+++ b/coltsgateway/gateway.go
@@ -0,0 +1,161 @@
+package coltsgateway
+
+// The parts of a gateway instance are put together here.
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"coltsfootstall/coltsattempt"
+	"coltsfootstall/coltsbalance"
+	"coltsfootstall/coltslink"
+	"coltsfootstall/coltslog"
+	"coltsfootstall/coltsmetric"
+	"coltsfootstall/coltspool"
+	"coltsfootstall/coltsroute"
+	"coltsfootstall/coltssettings"
+	"coltsfootstall/coltswatch"
+	"coltsfootstall/coltsweights"
+)
+
+const (
+	// dialTimeout bounds the making of a connection to an upstream: many times the
+	// way there and back, and short against what callers wait.
+	dialTimeout = 400 * time.Millisecond
+	// upstreamReadBytes is the size of a connection's read buffer, above the longest
+	// head that an upstream sends.
+	upstreamReadBytes = 4 << 10
+)
+
+// Config says what a gateway instance is made of.
+type Config struct {
+	Settings coltssettings.Settings
+	Dialect  Dialect
+	Log      *coltslog.Log
+	// Now reads the clock; nil for time.Now.
+	Now func() time.Time
+}
+
+// Gateway is one running gateway instance.
+type Gateway struct {
+	cfg      Config
+	settings coltssettings.Gateway
+	dialect  Dialect
+	log      *coltslog.Part
+	metrics  *coltsmetric.Set
+	latency  *latencies
+	started  time.Time
+
+	routes   *coltsroute.Register
+	weights  *coltsweights.Register
+	balancer *coltsbalance.Balancer
+	budget   *coltsattempt.Window
+	pool     *coltspool.Pool
+	watcher  *controlWatcher
+	// instances is the number of entry instances that share the budget.
+	instances atomic.Int64
+
+	callers   net.Listener
+	ready     net.Listener
+	operators net.Listener
+	readiness *fasthttp.Server
+	operator  *fasthttp.Server
+	open      openConns
+
+	running  context.Context
+	stop     context.CancelFunc
+	loops    sync.WaitGroup
+	requests sync.WaitGroup
+	draining atomic.Bool
+}
+
+// New returns a gateway instance.
+func New(cfg Config) *Gateway {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	g := &Gateway{
+		cfg:      cfg,
+		settings: cfg.Settings.Gateway,
+		dialect:  cfg.Dialect,
+		log:      cfg.Log.Part("gateway"),
+		metrics:  coltsmetric.NewSet(),
+		latency:  newLatencies(),
+		started:  cfg.Now(),
+		routes:   coltsroute.NewRegister(),
+		weights:  coltsweights.NewRegister(),
+		balancer: coltsbalance.New(),
+		budget: coltsattempt.NewWindow(coltsattempt.WindowConfig{
+			Ratio:  cfg.Settings.Gateway.RetryRatio,
+			Slack:  cfg.Settings.Gateway.RetrySlack,
+			Window: cfg.Settings.Gateway.RetryWindow,
+		}),
+		pool: coltspool.New(coltspool.Config{
+			Now:        cfg.Now,
+			ReadBytes:  upstreamReadBytes,
+			Unbuffered: true,
+			Dial:       dialUpstream,
+		}),
+	}
+	g.instances.Store(1)
+	g.watcher = newControlWatcher(g)
+	return g
+}
+
+func dialUpstream(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	return d.DialContext(ctx, "tcp", addr.String())
+}
+
+// Start listens and begins the loops.
+func (g *Gateway) Start() error {
+	for _, l := range []struct {
+		to   *net.Listener
+		addr netip.AddrPort
+		what string
+	}{
+		{&g.callers, g.settings.CallerAddr, "callers"},
+		{&g.ready, g.settings.ReadyAddr, "readiness"},
+		{&g.operators, g.settings.OperatorAddr, "operators"},
+	} {
+		ln, err := net.Listen("tcp", l.addr.String())
+		if err != nil {
+			return errors.Wrapf(err, "listen for %s", l.what)
+		}
+		*l.to = ln
+	}
+	g.running, g.stop = context.WithCancel(context.Background())
+	g.readiness = &fasthttp.Server{Handler: g.serveReady, NoDefaultServerHeader: true}
+	g.operator = &fasthttp.Server{Handler: g.serveOperator, Name: "coltsfootstall"}
+	go g.serve(g.readiness, g.ready)
+	go g.serve(g.operator, g.operators)
+	g.loops.Go(func() { g.watcher.run(g.running) })
+	g.loops.Go(func() { g.accept(coltswatch.Listen(g.callers)) })
+	g.log.Info("Started.", coltslog.Fields{"callers": g.CallerAddr(), "operators": g.OperatorAddr()})
+	return nil
+}
+
+func (g *Gateway) serve(s *fasthttp.Server, ln net.Listener) {
+	if err := s.Serve(ln); err != nil {
+		g.log.Error("A listener failed.", coltslog.Fields{"address": ln.Addr(), "error": err})
+	}
+}
+
+// CallerAddr returns where callers are served.
+func (g *Gateway) CallerAddr() netip.AddrPort { return coltslink.AddrOf(g.callers) }
+
+// ReadyAddr returns where a balancer asks for readiness.
+func (g *Gateway) ReadyAddr() netip.AddrPort { return coltslink.AddrOf(g.ready) }
+
+// OperatorAddr returns where operators find health and metrics.
+func (g *Gateway) OperatorAddr() netip.AddrPort { return coltslink.AddrOf(g.operators) }
+
+// now reads the clock.
+func (g *Gateway) now() time.Time { return g.cfg.Now() }
--- /dev/null
+++ b/coltsgateway/gateway_operator.go
@@ -0,0 +1,44 @@
+package coltsgateway
+
+// Readiness for the balancer, and health and metrics for operators.
+
+import (
+	"github.com/valyala/fasthttp"
+)
+
+// isReady says whether callers should be sent here: a route table is known and the
+// instance does not stop.
+func (g *Gateway) isReady() bool {
+	return !g.draining.Load() && g.routes.Current() != nil
+}
+
+func (g *Gateway) serveReady(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != g.dialect.ReadyPath {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	if !g.isReady() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+func (g *Gateway) serveOperator(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/health":
+		ctx.SetBodyString("ok\n")
+	case "/ready":
+		if !g.isReady() {
+			ctx.Error("not ready", fasthttp.StatusServiceUnavailable)
+			return
+		}
+		ctx.SetBodyString("ready\n")
+	case "/debug/vars":
+		ctx.SetContentType("application/json")
+		ctx.SetBodyString(g.metrics.JSON())
+	case "/debug/latencies":
+		ctx.SetContentType("application/json")
+		ctx.SetBody(g.latency.json())
+	default:
+		ctx.Error("there is no such path", fasthttp.StatusNotFound)
+	}
+}
--- a/coltsjournal/journal.go
+++ b/coltsjournal/journal.go
@@ -103,15 +103,7 @@
 // Open locks the folder, cuts a torn tail, and calls replay for each record from
 // the oldest on. Number counts the records of the folder's whole life, from 1.
 func Open(cfg Config, replay func(number uint64, record []byte) error) (*Journal, error) {
-	if cfg.SegmentBytes == 0 {
-		cfg.SegmentBytes = defaultSegmentBytes
-	}
-	if cfg.Write == nil {
-		cfg.Write = func(f *os.File, b []byte) (int, error) { return f.Write(b) }
-	}
-	if cfg.Sync == nil {
-		cfg.Sync = func(f *os.File) error { return f.Sync() }
-	}
+	cfg = cfg.withDefaults()
 	if err := os.MkdirAll(cfg.Dir, 0o750); err != nil {
 		return nil, errors.Wrap(err, "make journal folder")
 	}
@@ -130,6 +122,20 @@
 	return j, nil
 }
 
+// withDefaults gives the zero fields their defaults.
+func (cfg Config) withDefaults() Config {
+	if cfg.SegmentBytes == 0 {
+		cfg.SegmentBytes = defaultSegmentBytes
+	}
+	if cfg.Write == nil {
+		cfg.Write = func(f *os.File, b []byte) (int, error) { return f.Write(b) }
+	}
+	if cfg.Sync == nil {
+		cfg.Sync = func(f *os.File) error { return f.Sync() }
+	}
+	return cfg
+}
+
 func newAppendResult() *appendResult {
 	return &appendResult{finished: make(chan struct{})}
 }
--- a/coltsjournal/journal_snapshot.go
+++ b/coltsjournal/journal_snapshot.go
@@ -27,33 +27,43 @@
 // number, and removes older snapshots.
 func (j *Journal) SaveSnapshot(number uint64, content []byte) error {
 	name := fmt.Sprintf("%s%020d%s", snapshotPrefix, number, snapshotSuffix)
-	path := filepath.Join(j.cfg.Dir, name)
 	content = binary.LittleEndian.AppendUint32(slices.Clip(content), crc32.Checksum(content, castagnoli))
-	if err := j.writeAside(path+asideSuffix, content); err != nil {
+	if err := WriteFile(j.cfg, name, content); err != nil {
 		return err
 	}
-	if err := os.Rename(path+asideSuffix, path); err != nil {
-		return errors.Wrap(err, "rename snapshot")
+	return j.removeSnapshotsBefore(number)
+}
+
+// WriteFile makes a file of the folder durable with some content, whole or not at
+// all. The folder is made if it is missing.
+func WriteFile(cfg Config, name string, content []byte) error {
+	cfg = cfg.withDefaults()
+	if err := os.MkdirAll(cfg.Dir, 0o750); err != nil {
+		return errors.Wrap(err, "make folder")
 	}
-	if err := syncDir(j.cfg.Dir, j.cfg.Sync); err != nil {
+	path := filepath.Join(cfg.Dir, name)
+	if err := writeAside(cfg, path+asideSuffix, content); err != nil {
 		return err
 	}
-	return j.removeSnapshotsBefore(number)
+	if err := os.Rename(path+asideSuffix, path); err != nil {
+		return errors.Wrapf(err, "rename %s", name)
+	}
+	return syncDir(cfg.Dir, cfg.Sync)
 }
 
-func (j *Journal) writeAside(path string, content []byte) error {
+func writeAside(cfg Config, path string, content []byte) error {
 	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o640)
 	if err != nil {
-		return errors.Wrap(err, "make snapshot")
+		return errors.Wrap(err, "make file")
 	}
-	_, err = j.cfg.Write(f, content)
+	_, err = cfg.Write(f, content)
 	if err == nil {
-		err = j.cfg.Sync(f)
+		err = cfg.Sync(f)
 	}
 	if closeErr := f.Close(); err == nil {
 		err = closeErr
 	}
-	return errors.Wrap(err, "write snapshot")
+	return errors.Wrap(err, "write file")
 }
 
 func (j *Journal) removeSnapshotsBefore(number uint64) error {
--- a/coltsmetric/metric_table.go
+++ b/coltsmetric/metric_table.go
@@ -45,6 +45,13 @@
 	Revision         = Metric{"document-revision", "revision", "revision of the document in force"}
 	DocumentAgeMilli = Metric{"document-heard-unix-milli", "milliseconds", "when control last confirmed the document, since the Unix epoch"}
 	UsageBatches     = Metric{"usage-batches", "batches", "batches of use that control has taken in"}
+	RoutesVersion    = Metric{"routes-version", "version", "version of the route table in force"}
+	WatchFailures    = Metric{"watch-failures", "questions", "questions to control that were not answered"}
+	RefusedNotRun    = Metric{"refused-not-run", "requests", "requests refused and known not to have run"}
+	FailedUnknown    = Metric{"failed-unknown", "requests", "requests that failed and may have run"}
+	StreamsBroken    = Metric{"streams-broken", "streams", "streams that ended before their last event"}
+	CacheHome        = Metric{"requests-at-home", "requests", "requests sent to the runner that their shared parts lead to"}
+	LogLinesDropped  = Metric{"log-lines-dropped", "lines", "log lines dropped because their reader was too slow"}
 	Commands         = Metric{"commands", "commands", "commands applied"}
 	Syncs            = Metric{"journal-syncs", "syncs", "syncs of the journal"}
 	Snapshots        = Metric{"snapshots", "snapshots", "snapshots written"}
@@ -55,6 +62,7 @@
 	Requests, Refused, RequestsUnderWay, CallerLeft, Attempts, Retries, Resumes, Crossed, Silent,
 	Tokens, TokensComputed, TokensReused, FirstTokenMicros, FirstTokens, Lookups, Exports, ExportsFailed,
 	Announcements, Untrusted, Upstreams, CacheEvents, Grants, Replays, SettleRetries, Revision, DocumentAgeMilli,
+	RoutesVersion, WatchFailures, RefusedNotRun, FailedUnknown, StreamsBroken, CacheHome, LogLinesDropped,
 	UsageBatches, Commands, Syncs, Snapshots,
 }
 
--- /dev/null
+++ b/coltsregistry/registry_test.go
@@ -0,0 +1,144 @@
+package coltsregistry
+
+import (
+	"errors"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootstall/coltsidentity"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func report(id string, born, sequence int, state State) Upstream {
+	return Upstream{
+		ID:       coltsidentity.Upstream(id),
+		Service:  "llm",
+		Addr:     netip.MustParseAddrPort("10.0.0.1:80"),
+		State:    state,
+		Born:     start.Add(time.Duration(born) * time.Second),
+		Sequence: uint64(sequence),
+	}
+}
+
+func newRegistry() *Registry {
+	return NewRegistry(Config{SilentAfter: 4 * time.Second})
+}
+
+func assertTaken(t *testing.T, r *Registry, u Upstream, changed bool) {
+	t.Helper()
+	got, err := r.Report(u, start)
+	assert.NilError(t, err)
+	assert.Equal(t, got, changed)
+}
+
+func assertStale(t *testing.T, r *Registry, u Upstream) {
+	t.Helper()
+	before, _ := r.Find(u.ID)
+	_, err := r.Report(u, start)
+	var stale *StaleError
+	assert.Assert(t, errors.As(err, &stale), "got %v", err)
+	after, _ := r.Find(u.ID)
+	assert.Assert(t, reflect.DeepEqual(before, after), "%v became %v", before, after)
+}
+
+func assertState(t *testing.T, r *Registry, id string, state State) {
+	t.Helper()
+	e, known := r.Find(coltsidentity.Upstream(id))
+	assert.Assert(t, known)
+	assert.Equal(t, e.Upstream.State, state)
+}
+
+func TestReport(t *testing.T) {
+	t.Run("a later report of one process wins", func(t *testing.T) {
+		r := newRegistry()
+		assertTaken(t, r, report("a", 0, 2, StateReady), true)
+		assertTaken(t, r, report("a", 0, 4, StateDraining), true)
+		assertStale(t, r, report("a", 0, 3, StateReady))
+		assertState(t, r, "a", StateDraining)
+	})
+	t.Run("a report without news changes nothing", func(t *testing.T) {
+		r := newRegistry()
+		assertTaken(t, r, report("a", 0, 2, StateReady), true)
+		assertTaken(t, r, report("a", 0, 3, StateReady), false)
+	})
+	t.Run("a process that was born again starts anew", func(t *testing.T) {
+		r := newRegistry()
+		assertTaken(t, r, report("a", 0, 9, StateDraining), true)
+		assertTaken(t, r, report("a", 1, 1, StateReady), true)
+		assertStale(t, r, report("a", 0, 10, StateDraining))
+	})
+	t.Run("one that has left does not come back by a late report", func(t *testing.T) {
+		r := newRegistry()
+		assertTaken(t, r, report("a", 0, 1, StateReady), true)
+		assert.Assert(t, r.Leave("a", time.Time{}, start))
+		assertStale(t, r, report("a", 0, 2, StateReady))
+		assertTaken(t, r, report("a", 5, 1, StateReady), true)
+	})
+	t.Run("a leave of an earlier process is passed over", func(t *testing.T) {
+		r := newRegistry()
+		assertTaken(t, r, report("a", 5, 1, StateReady), true)
+		assert.Assert(t, !r.Leave("a", start, start))
+		assertState(t, r, "a", StateReady)
+	})
+	t.Run("an address belongs to who was born last", func(t *testing.T) {
+		r := newRegistry()
+		assertTaken(t, r, report("old", 0, 1, StateReady), true)
+		assertTaken(t, r, report("new", 5, 1, StateReady), true)
+		assertState(t, r, "old", StateGone)
+		assertStale(t, r, report("old", 0, 2, StateReady))
+	})
+}
+
+func TestSweep(t *testing.T) {
+	t.Run("marks who is overdue, once, and believes the next report", func(t *testing.T) {
+		r := newRegistry()
+		assertTaken(t, r, report("a", 0, 1, StateReady), true)
+		for i := range 4 {
+			assert.Equal(t, len(r.Sweep(start.Add(time.Duration(i)*time.Second))), 0)
+		}
+		assert.Equal(t, len(r.Sweep(start.Add(5*time.Second))), 1)
+		assert.Equal(t, len(r.Sweep(start.Add(6*time.Second))), 0)
+		changed, err := r.Report(report("a", 0, 2, StateReady), start.Add(7*time.Second))
+		assert.NilError(t, err)
+		assert.Assert(t, changed)
+	})
+	t.Run("finds nobody overdue after this process stood still", func(t *testing.T) {
+		r := newRegistry()
+		assertTaken(t, r, report("a", 0, 1, StateReady), true)
+		assert.Equal(t, len(r.Sweep(start)), 0)
+		assert.Equal(t, len(r.Sweep(start.Add(time.Minute))), 0)
+		e, _ := r.Find("a")
+		assert.Assert(t, !e.Silent)
+	})
+}
+
+func TestSince(t *testing.T) {
+	r := newRegistry()
+	assertTaken(t, r, report("a", 0, 1, StateReady), true)
+	all, upTo := r.Since(0)
+	assert.Equal(t, len(all), 1)
+	t.Run("tells only what is new", func(t *testing.T) {
+		none, again := r.Since(upTo)
+		assert.Equal(t, len(none), 0)
+		assert.Equal(t, again, upTo)
+	})
+	t.Run("tells of a change", func(t *testing.T) {
+		assertTaken(t, r, report("a", 0, 2, StateDraining), true)
+		some, _ := r.Since(upTo)
+		assert.Equal(t, len(some), 1)
+	})
+	t.Run("a mirror believes the same", func(t *testing.T) {
+		m := newRegistry()
+		entries, _ := r.Since(0)
+		for _, e := range entries {
+			assert.Assert(t, m.Mirror(e, start))
+			assert.Assert(t, !m.Mirror(e, start))
+		}
+		assertState(t, m, "a", StateDraining)
+	})
+}
--- a/coltsreplica/replica.go
+++ b/coltsreplica/replica.go
@@ -84,6 +84,8 @@
 	leadUntil time.Time
 	reads     []pendingRead
 	out       Output
+	// clock is the newest time that a step was given.
+	clock time.Time
 }
 
 // sentBeat is when a round of heartbeats was sent.
@@ -106,7 +108,9 @@
 	sentBeats  int
 	// heard says that it has answered since the quorum was last checked.
 	heard bool
-	round uint64
+	// heardAt is when it last answered, or when it became a follower.
+	heardAt time.Time
+	round   uint64
 }
 
 type pendingRead struct {
@@ -149,6 +153,7 @@
 	n.commit = r.Snapshot.Index
 	n.handedOut = r.Snapshot.Index
 	n.followers = map[ID]*follower{}
+	n.clock = now
 	n.resetElection(now)
 	// What this voter promised before a restart is forgotten, so it is kept as if
 	// it had been promised just now.
@@ -211,6 +216,7 @@
 
 // Tick takes in that time has passed.
 func (n *Replica) Tick(now time.Time) {
+	n.clock = now
 	if n.role == RoleLeader && !now.Before(n.heartbeatAt) {
 		n.beat(now)
 	}
@@ -305,6 +311,28 @@
 	return n.log.configurationUpTo(index)
 }
 
+// Progress is a follower as its leader knows it.
+type Progress struct {
+	ID ID
+	// Match is the index up to which its log is known to match.
+	Match uint64
+	// HeardAt is when it last answered, or when it became a follower.
+	HeardAt time.Time
+}
+
+// Followers returns what a leader knows of the others, in the order of their names;
+// nil for one that does not lead.
+func (n *Replica) Followers() []Progress {
+	if n.role != RoleLeader {
+		return nil
+	}
+	all := make([]Progress, 0, len(n.followers))
+	for id, f := range n.sorted() {
+		all = append(all, Progress{ID: id, Match: f.match, HeardAt: f.heardAt})
+	}
+	return all
+}
+
 // TermAt returns the term of an entry, or false if the log does not hold it.
 func (n *Replica) TermAt(index uint64) (uint64, bool) {
 	return n.log.term(index)
--- a/coltsreplica/replica_campaign.go
+++ b/coltsreplica/replica_campaign.go
@@ -122,7 +122,7 @@
 	members := n.log.configuration.Members()
 	for _, id := range members {
 		if _, known := n.followers[id]; !known && id != n.cfg.ID {
-			n.followers[id] = &follower{next: n.log.last(), probing: true, heard: true}
+			n.followers[id] = &follower{next: n.log.last(), probing: true, heard: true, heardAt: n.clock}
 		}
 	}
 	for id := range n.followers {
--- a/coltsreplica/replica_lead.go
+++ b/coltsreplica/replica_lead.go
@@ -122,6 +122,7 @@
 		return
 	}
 	f.heard = true
+	f.heardAt = n.clock
 	f.inFlight = max(0, f.inFlight-1)
 	if m.Reject {
 		n.takeReject(f, m)
@@ -162,6 +163,7 @@
 		return
 	}
 	f.heard = true
+	f.heardAt = n.clock
 	f.round = max(f.round, m.Round)
 	// Appends that were lost leave no other trace than this.
 	f.inFlight = 0
--- a/coltsreplica/replica_step.go
+++ b/coltsreplica/replica_step.go
@@ -7,6 +7,7 @@
 
 // Step takes in a message.
 func (n *Replica) Step(m Message, now time.Time) {
+	n.clock = now
 	if m.Term > n.hard.Term && !n.takeHigherTerm(m, now) {
 		return
 	}
--- a/coltssettings/settings.go
+++ b/coltssettings/settings.go
@@ -17,6 +17,7 @@
 	LogLevel   string  `json:"log-level" unit:"level" usage:"least level that is logged: debug, info, warning or error"`
 	LogJSON    bool    `json:"log-json" unit:"" usage:"log JSON objects rather than text"`
 	Entry      Entry   `json:"entry" usage:"settings of an entry instance"`
+	Gateway    Gateway `json:"gateway" usage:"settings of a gateway instance"`
 	Control    Control `json:"control" usage:"settings of a control instance"`
 }
 
@@ -44,14 +45,19 @@
 
 // Control are the settings of a control instance.
 type Control struct {
-	Addr            netip.AddrPort `json:"address" unit:"address" usage:"where entries, operators and other control instances reach this one"`
-	OperatorAddr    netip.AddrPort `json:"operator-address" unit:"address" usage:"where operators find health, readiness and metrics"`
-	DataFolder      string         `json:"data-folder" unit:"path" usage:"folder that holds the durable state"`
-	InitialDocument string         `json:"initial-document" unit:"path" usage:"document to begin with when the state is empty; empty for none"`
-	SegmentBytes    int            `json:"segment-bytes" unit:"bytes" min:"4096" usage:"size at which a new segment of the journal is begun"`
-	SnapshotEvery   int            `json:"snapshot-every" unit:"commands" min:"1" usage:"least number of commands between two snapshots of the state; there are more between them once the state is larger than the commands since"`
-	MaxLoading      int            `json:"max-loading" unit:"runners" min:"1" usage:"runners that are told to load weights at once"`
-	Replicas        []Replica      `json:"replicas" unit:"instances" usage:"every control instance of the group: instance, address, and joins for one that is added to a running group; empty for a group of one"`
+	Addr            netip.AddrPort   `json:"address" unit:"address" usage:"where entries, operators and other control instances reach this one"`
+	OperatorAddr    netip.AddrPort   `json:"operator-address" unit:"address" usage:"where operators find health, readiness and metrics"`
+	DataFolder      string           `json:"data-folder" unit:"path" usage:"folder that holds the durable state"`
+	InitialDocument string           `json:"initial-document" unit:"path" usage:"document to begin with when the state is empty; empty for none"`
+	SegmentBytes    int              `json:"segment-bytes" unit:"bytes" min:"4096" usage:"size at which a new segment of the journal is begun"`
+	SnapshotEvery   int              `json:"snapshot-every" unit:"commands" min:"1" usage:"least number of commands between two snapshots of the state; there are more between them once the state is larger than the commands since"`
+	MaxLoading      int              `json:"max-loading" unit:"runners" min:"1" usage:"runners that are told to load weights at once"`
+	ServiceAddr     netip.AddrPort   `json:"service-address" unit:"address" usage:"where operators put route tables and upstreams report themselves; empty for nowhere"`
+	Seeds           []netip.AddrPort `json:"seeds" unit:"addresses" usage:"hosts of instances through which a group that forms itself is found; their port is that of control/address; empty for a group that replicas lists"`
+	Founds          bool             `json:"founds" unit:"" usage:"an instance that is a seed and has an empty folder founds the group together with the other seeds"`
+	ToleratedLosses int              `json:"tolerated-losses" unit:"instances" min:"0" usage:"instances whose loss at the same time a group that forms itself must bear"`
+	SilentAfter     time.Duration    `json:"silent-after" unit:"duration" min:"100ms" usage:"time without a report after which an upstream counts as silent"`
+	Replicas        []Replica        `json:"replicas" unit:"instances" usage:"every control instance of the group: instance, address, and joins for one that is added to a running group; empty for a group of one"`
 }
 
 // Replica is a control instance as the others know it.
@@ -63,6 +69,20 @@
 	Joins bool `json:"joins"`
 }
 
+// Gateway are the settings of a gateway instance.
+type Gateway struct {
+	CallerAddr   netip.AddrPort   `json:"caller-address" unit:"address" usage:"where callers are served"`
+	ReadyAddr    netip.AddrPort   `json:"ready-address" unit:"address" usage:"where a balancer asks for readiness"`
+	OperatorAddr netip.AddrPort   `json:"operator-address" unit:"address" usage:"where operators find health, readiness and metrics"`
+	Seeds        []netip.AddrPort `json:"seeds" unit:"addresses" usage:"hosts of control instances through which the others are found"`
+	ControlPort  int              `json:"control-port" unit:"port" min:"1" usage:"port of the control instances for other instances"`
+
+	RetryRatio  float64       `json:"retry-ratio" unit:"share" usage:"attempts after the first one, as a share of a service's requests, that all gateways together may make"`
+	RetrySlack  int           `json:"retry-slack" unit:"attempts" min:"0" usage:"attempts after the first one that are allowed besides that share, in all gateways together"`
+	RetryWindow time.Duration `json:"retry-window" unit:"duration" min:"1s" usage:"span over which both are counted"`
+	Grace       time.Duration `json:"grace" unit:"duration" min:"100ms" usage:"time between the request to stop and the end of the process"`
+}
+
 // Default returns the settings that an empty file gives.
 func Default() Settings {
 	return Settings{
@@ -87,6 +107,17 @@
 			DrainNotice:    time.Second,
 			DrainTimeout:   10 * time.Minute,
 		},
+		Gateway: Gateway{
+			CallerAddr:   netip.MustParseAddrPort("127.0.0.1:8100"),
+			ReadyAddr:    netip.MustParseAddrPort("127.0.0.1:8101"),
+			OperatorAddr: netip.MustParseAddrPort("127.0.0.1:8102"),
+			Seeds:        []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:8090")},
+			ControlPort:  8090,
+			RetryRatio:   0.2,
+			RetrySlack:   50,
+			RetryWindow:  10 * time.Second,
+			Grace:        8 * time.Second,
+		},
 		Control: Control{
 			Addr:          netip.MustParseAddrPort("127.0.0.1:8090"),
 			OperatorAddr:  netip.MustParseAddrPort("127.0.0.1:8091"),
@@ -94,6 +125,7 @@
 			SegmentBytes:  64 << 20,
 			SnapshotEvery: 10_000,
 			MaxLoading:    3,
+			SilentAfter:   5 * time.Second,
 		},
 	}
 }
--- a/coltssettings/settings_table.go
+++ b/coltssettings/settings_table.go
@@ -53,7 +53,7 @@
 
 // isGroup says whether a field holds further settings.
 func isGroup(t reflect.Type) bool {
-	return t == reflect.TypeFor[Entry]() || t == reflect.TypeFor[Control]()
+	return t == reflect.TypeFor[Entry]() || t == reflect.TypeFor[Gateway]() || t == reflect.TypeFor[Control]()
 }
 
 func typeName(t reflect.Type) string {
@@ -70,6 +70,8 @@
 		return "true or false"
 	case t.Kind() == reflect.Int:
 		return "whole number"
+	case t.Kind() == reflect.Float64:
+		return "number"
 	}
 	return t.Kind().String()
 }
--- a/coltsstate/state_command.go
+++ b/coltsstate/state_command.go
@@ -14,7 +14,9 @@
 	"coltsfootstall/coltsbooking"
 	"coltsfootstall/coltsdocument"
 	"coltsfootstall/coltsidentity"
+	"coltsfootstall/coltsroute"
 	"coltsfootstall/coltsusage"
+	"coltsfootstall/coltsweights"
 )
 
 // CommandKind says what a command does.
@@ -29,6 +31,8 @@
 	CommandSettle
 	CommandWithdraw
 	CommandUsage
+	CommandRoutes
+	CommandWeights
 )
 
 // Command changes the state. Only the field of its kind is set.
@@ -43,6 +47,8 @@
 	Settle   coltsbooking.Settlement
 	Withdraw coltsbooking.Request
 	Usage    coltsusage.Batch
+	Routes   coltsroute.Text
+	Weights  coltsweights.Named
 }
 
 // Step is an operator's step with a change.
--- a/coltsstate/state_machine.go
+++ b/coltsstate/state_machine.go
@@ -8,7 +8,9 @@
 
 	"coltsfootstall/coltsbooking"
 	"coltsfootstall/coltsdocument"
+	"coltsfootstall/coltsroute"
 	"coltsfootstall/coltsusage"
+	"coltsfootstall/coltsweights"
 )
 
 // Machine is the state.
@@ -16,6 +18,9 @@
 	Register *coltsdocument.Register
 	Ledger   *coltsbooking.Ledger
 	Account  *coltsusage.Account
+	Weights  *coltsweights.Register
+	// routes is the newest route table's text; the machine never reads it.
+	routes coltsroute.Text
 	// appliedAt is the time of the newest command; time never goes back in the
 	// state, whichever leader's clock it comes from.
 	appliedAt time.Time
@@ -27,6 +32,7 @@
 		Register: coltsdocument.NewRegister(),
 		Ledger:   coltsbooking.NewLedger(),
 		Account:  coltsusage.NewAccount(),
+		Weights:  coltsweights.NewRegister(),
 	}
 }
 
@@ -57,10 +63,25 @@
 	case CommandUsage:
 		m.Account.Report(c.Usage)
 		return Result{}
+	case CommandRoutes:
+		if c.Routes.Version > m.routes.Version {
+			m.routes = c.Routes
+		}
+		return Result{}
+	case CommandWeights:
+		c.Weights.At = now
+		m.Weights.Name(c.Weights)
+		return Result{}
 	}
 	return Result{}
 }
 
+// Routes returns the newest route table's text. Like Apply it is for the log's one
+// applier.
+func (m *Machine) Routes() coltsroute.Text {
+	return m.routes
+}
+
 // settle records how a call ended and charges it in the same step, so that no
 // failure can come between the two.
 func (m *Machine) settle(s coltsbooking.Settlement, now time.Time) Result {
@@ -87,6 +108,8 @@
 	Bookings  []coltsbooking.Record
 	Lines     []coltsusage.Line
 	Sources   []coltsusage.Source
+	Routes    coltsroute.Text
+	Weights   []coltsweights.Named
 }
 
 // Export returns the whole state. It must not run beside Apply.
@@ -95,6 +118,8 @@
 	s.Document, s.Changes = m.Register.Export()
 	s.LastGrant, s.Bookings = m.Ledger.Export()
 	s.Lines, s.Sources = m.Account.Export()
+	s.Routes = m.routes
+	s.Weights, _ = m.Weights.All()
 	return s
 }
 
@@ -104,4 +129,6 @@
 	m.Register.Import(s.Document, s.Changes)
 	m.Ledger.Import(s.LastGrant, s.Bookings)
 	m.Account.Import(s.Lines, s.Sources)
+	m.routes = s.Routes
+	m.Weights.Import(s.Weights)
 }
--- a/coltsupstream/upstream_client.go
+++ b/coltsupstream/upstream_client.go
@@ -20,6 +20,7 @@
 	"coltsfootstall/coltscache"
 	"coltsfootstall/coltscodec"
 	"coltsfootstall/coltsidentity"
+	"coltsfootstall/coltspool"
 )
 
 // silenceSteps is in how many steps the deadline of a stream's connection moves on
@@ -49,35 +50,29 @@
 // Client sends requests to upstreams. It may be used concurrently.
 type Client struct {
 	cfg  Config
-	pool *pool
+	pool *coltspool.Pool
 }
 
 // New returns a client.
 func New(cfg Config) *Client {
-	if cfg.Dial == nil {
-		cfg.Dial = dialTCP
-	}
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	if cfg.OnSilent == nil {
-		cfg.OnSilent = func(netip.AddrPort) {}
-	}
 	if cfg.OnCrossed == nil {
 		cfg.OnCrossed = func(netip.AddrPort) {}
 	}
-	return &Client{cfg: cfg, pool: newPool(cfg)}
-}
-
-func dialTCP(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
-	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", addr.String())
-	return c, errors.Wrap(err, "dial")
+	return &Client{cfg: cfg, pool: coltspool.New(coltspool.Config{
+		Dial:         cfg.Dial,
+		Now:          cfg.Now,
+		Probe:        probe,
+		ProbeTimeout: cfg.ProbeTimeout,
+		OnSilent:     cfg.OnSilent,
+	})}
 }
 
 // Close closes the idle connections. Requests under way end as usual.
 func (c *Client) Close() {
-	c.pool.closeIdle()
+	c.pool.CloseIdle()
 }
 
 // Request is what is sent to an upstream.
@@ -136,7 +131,7 @@
 type exchange struct {
 	client *Client
 	ctx    context.Context
-	conn   *conn
+	conn   *coltspool.Conn
 	req    Request
 	resp   *fasthttp.Response
 	// stop ends the watch on the context.
@@ -150,12 +145,12 @@
 // begin sends a request and reads the head of its answer. A nil Failure comes
 // with an exchange that must be closed.
 func (c *Client) begin(ctx context.Context, r Request) (*exchange, *Failure) {
-	nc, err := c.pool.get(ctx, r.Addr, r.Once)
+	nc, err := c.pool.Get(ctx, r.Addr, r.Once)
 	if err != nil {
 		return nil, failed(coltsattempt.PhaseUnsent, false, "upstream %s can't be reached: %v", r.Addr, err)
 	}
 	x := &exchange{client: c, ctx: ctx, conn: nc, req: r, resp: fasthttp.AcquireResponse()}
-	x.stop = context.AfterFunc(ctx, func() { c.pool.drop(nc) })
+	x.stop = context.AfterFunc(ctx, func() { c.pool.Drop(nc) })
 	if failure := x.send(); failure != nil {
 		x.close()
 		return nil, failure
@@ -183,9 +178,9 @@
 	if err := x.conn.SetWriteDeadline(x.req.Deadline); err != nil {
 		return failed(coltsattempt.PhaseUnsent, false, "connection to %s is closed: %v", x.req.Addr, err)
 	}
-	err := req.Write(x.conn.bw)
+	err := req.Write(x.conn.Writer)
 	if err == nil {
-		err = x.conn.bw.Flush()
+		err = x.conn.Writer.Flush()
 	}
 	if err != nil {
 		return failed(coltsattempt.PhaseSent, x.hasCrashed(), "request to %s was cut off: %v", x.req.Addr, err)
@@ -197,7 +192,7 @@
 func (x *exchange) readHead() *Failure {
 	x.resp.StreamBody = true
 	x.await()
-	err := x.resp.ReadLimitBody(x.conn.br, 0)
+	err := x.resp.ReadLimitBody(x.conn.Reader, 0)
 	if err != nil {
 		return x.readFailure(coltsattempt.PhaseSent, err)
 	}
@@ -255,7 +250,7 @@
 // readFailure turns an error of reading into a failure.
 func (x *exchange) readFailure(phase coltsattempt.Phase, err error) *Failure {
 	if isTimeout(err) {
-		x.client.pool.suspect(x.req.Addr)
+		x.client.pool.Suspect(x.req.Addr)
 		return failed(phase, x.hasCrashed(), "upstream %s went silent", x.req.Addr)
 	}
 	return failed(phase, x.hasCrashed(), "answer of %s broke off: %v", x.req.Addr, err)
@@ -264,7 +259,7 @@
 // hasCrashed says whether the upstream is gone, rather than one connection to it:
 // an innocent request must not be blamed for what the network did.
 func (x *exchange) hasCrashed() bool {
-	return x.ctx.Err() == nil && !x.client.pool.answers(x.req.Addr)
+	return x.ctx.Err() == nil && !x.client.pool.Answers(x.req.Addr)
 }
 
 // isTimeout says whether a read ended by its deadline. The library has an error
@@ -280,9 +275,9 @@
 	// Closing the body's stream of a whole answer reads nothing more.
 	if x.ended && mine && !x.resp.ConnectionClose() {
 		_ = x.resp.CloseBodyStream()
-		x.client.pool.put(x.conn)
+		x.client.pool.Put(x.conn)
 	} else {
-		x.client.pool.drop(x.conn)
+		x.client.pool.Drop(x.conn)
 		_ = x.resp.CloseBodyStream()
 	}
 	fasthttp.ReleaseResponse(x.resp)
@@ -314,7 +309,7 @@
 		x.ended = true
 		return x.resp.Body(), nil
 	}
-	buffer := make([]byte, bufferBytes)
+	buffer := make([]byte, coltspool.BufferBytes)
 	for len(body) <= maxAnswerBytes {
 		x.await()
 		n, err := stream.Read(buffer)
@@ -331,21 +326,21 @@
 }
 
 // probe asks an idle connection's other end for a sign of life.
-func probe(c *conn, deadline time.Time) error {
+func probe(c *coltspool.Conn, deadline time.Time) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI(coltscodec.PathHealth)
-	req.Header.SetHost(c.addr.String())
+	req.Header.SetHost(c.Addr.String())
 	if err := c.SetDeadline(deadline); err != nil {
 		return errors.Wrap(err, "set deadline")
 	}
-	if err := req.Write(c.bw); err != nil {
+	if err := req.Write(c.Writer); err != nil {
 		return errors.Wrap(err, "write probe")
 	}
-	if err := c.bw.Flush(); err != nil {
+	if err := c.Writer.Flush(); err != nil {
 		return errors.Wrap(err, "write probe")
 	}
-	return errors.Wrap(resp.Read(c.br), "read probe's answer")
+	return errors.Wrap(resp.Read(c.Reader), "read probe's answer")
 }
--- a/coltsupstream/upstream_stream.go
+++ b/coltsupstream/upstream_stream.go
@@ -20,6 +20,7 @@
 
 	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltscodec"
+	"coltsfootstall/coltspool"
 	"coltsfootstall/coltsrequest"
 )
 
@@ -76,7 +77,7 @@
 		defer x.close()
 		return nil, x.badStatus()
 	}
-	return &Stream{x: x, br: bufio.NewReaderSize(x.resp.BodyStream(), bufferBytes), id: []byte(r.ID.String())}, nil
+	return &Stream{x: x, br: bufio.NewReaderSize(x.resp.BodyStream(), coltspool.BufferBytes), id: []byte(r.ID.String())}, nil
 }
 
 // badStatus reports an error of the runner. A client's error is permanent.
--- a/coltsentry/caller_watch.go
+++ b/coltswatch/watch_conn.go
@@ -1,4 +1,5 @@
-package coltsentry
+// Package coltswatch notices callers that hang up while their request is served.
+package coltswatch
 
 // While a request is being served nobody reads its connection, so a caller that
 // hangs up during a long prefill would be noticed only at the next write, and
@@ -23,8 +24,8 @@
 	writeDeadlineStep = time.Second
 )
 
-// watchListener makes connections that can be watched.
-func watchListener(ln net.Listener) net.Listener {
+// Listen returns a listener whose connections are of type *Conn.
+func Listen(ln net.Listener) net.Listener {
 	return &watchedListener{Listener: ln}
 }
 
@@ -32,17 +33,17 @@
 	net.Listener
 }
 
-// Accept returns the next connection as a watched one.
+// Accept returns the next connection as a *Conn.
 func (l *watchedListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &watchedConn{Conn: c}, nil
+	return &Conn{Conn: c}, nil
 }
 
-// watchedConn is a caller's connection.
-type watchedConn struct {
+// Conn is a caller's connection. It is used by one goroutine, and by its own watch.
+type Conn struct {
 	net.Conn
 	// writeDue is the deadline of writing; only the writer uses it.
 	writeDue time.Time
@@ -56,7 +57,7 @@
 }
 
 // Write writes within callerWriteTimeout, give or take writeDeadlineStep.
-func (c *watchedConn) Write(b []byte) (int, error) {
+func (c *Conn) Write(b []byte) (int, error) {
 	due := time.Now().Add(callerWriteTimeout)
 	if due.Sub(c.writeDue) >= writeDeadlineStep {
 		c.writeDue = due
@@ -68,7 +69,7 @@
 }
 
 // Read hands out what the watch has read before what follows it.
-func (c *watchedConn) Read(b []byte) (int, error) {
+func (c *Conn) Read(b []byte) (int, error) {
 	c.mu.Lock()
 	if c.hasKept && len(b) > 0 {
 		b[0] = c.kept[0]
@@ -80,9 +81,9 @@
 	return c.Conn.Read(b)
 }
 
-// watch begins to watch and calls gone, once, if the caller hangs up before
-// unwatch. No other read may run meanwhile.
-func (c *watchedConn) watch(gone func()) {
+// Watch begins to watch and calls gone, once, if the caller hangs up before
+// Unwatch. No other read may run meanwhile.
+func (c *Conn) Watch(gone func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.done != nil || c.hasKept {
@@ -96,7 +97,7 @@
 	}()
 }
 
-func (c *watchedConn) readAhead(gone func()) {
+func (c *Conn) readAhead(gone func()) {
 	var b [1]byte
 	n, err := c.Conn.Read(b[:])
 	if n > 0 {
@@ -111,8 +112,8 @@
 	}
 }
 
-// unwatch ends the watch. When it returns, the connection can be read as before.
-func (c *watchedConn) unwatch() {
+// Unwatch ends the watch. When it returns, the connection can be read as before.
+func (c *Conn) Unwatch() {
 	c.mu.Lock()
 	done := c.done
 	c.done = nil
--- /dev/null
+++ b/coltsweights/weights_register.go
@@ -0,0 +1,87 @@
+// Package coltsweights is the aggregate of the weight versions that operators have
+// named: which one each model is to have, and which runners are brought to it next.
+package coltsweights
+
+// Named versions are numbers that only rise. The register is one shard: a few
+// names a day are written, and each request reads one.
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"coltsfootstall/coltsidentity"
+)
+
+// Number is a version of a model's weights; the first one is 1, 0 is unknown.
+type Number uint64
+
+// Weights are a version of a model.
+type Weights struct {
+	Model  coltsidentity.Model
+	Number Number
+}
+
+// Named is a version that an operator has named.
+type Named struct {
+	Weights
+	// At is when it was named, by the clock of the instance that recorded it.
+	At time.Time
+}
+
+// Register holds the newest version of each model. It may be used concurrently.
+type Register struct {
+	mu    sync.Mutex
+	named map[coltsidentity.Model]Named
+	// revision counts the changes.
+	revision uint64
+}
+
+// NewRegister returns a register in which nothing is named.
+func NewRegister() *Register {
+	return &Register{named: map[coltsidentity.Model]Named{}}
+}
+
+// Name takes in a named version and says whether it is news. Versions never go back.
+func (r *Register) Name(n Named) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n.Number <= r.named[n.Model].Number {
+		return false
+	}
+	r.named[n.Model] = n
+	r.revision++
+	return true
+}
+
+// Wanted returns the version that a model is to have, 0 if none was named.
+func (r *Register) Wanted(model coltsidentity.Model) Named {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.named[model]
+}
+
+// All returns the named versions in the order of their models, and the revision
+// that they make up.
+func (r *Register) All() ([]Named, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := make([]Named, 0, len(r.named))
+	for _, n := range r.named {
+		all = append(all, n)
+	}
+	slices.SortFunc(all, func(a, b Named) int { return cmp.Compare(a.Model, b.Model) })
+	return all, r.revision
+}
+
+// Import replaces everything.
+func (r *Register) Import(all []Named) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.named = make(map[coltsidentity.Model]Named, len(all))
+	for _, n := range all {
+		r.named[n.Model] = n
+	}
+	r.revision++
+}
--- a/coltswire/coltspb/coltspbconnect/colts.connect.go
+++ b/coltswire/coltspb/coltspbconnect/colts.connect.go
@@ -58,6 +58,14 @@
 	ControlSpendProcedure = "/colts.v1.Control/Spend"
 	// ControlChangeReplicasProcedure is the fully-qualified name of the Control's ChangeReplicas RPC.
 	ControlChangeReplicasProcedure = "/colts.v1.Control/ChangeReplicas"
+	// ControlJoinProcedure is the fully-qualified name of the Control's Join RPC.
+	ControlJoinProcedure = "/colts.v1.Control/Join"
+	// ControlRoutesProcedure is the fully-qualified name of the Control's Routes RPC.
+	ControlRoutesProcedure = "/colts.v1.Control/Routes"
+	// ControlReportProcedure is the fully-qualified name of the Control's Report RPC.
+	ControlReportProcedure = "/colts.v1.Control/Report"
+	// ControlWatchProcedure is the fully-qualified name of the Control's Watch RPC.
+	ControlWatchProcedure = "/colts.v1.Control/Watch"
 	// ReplicaDeliverProcedure is the fully-qualified name of the Replica's Deliver RPC.
 	ReplicaDeliverProcedure = "/colts.v1.Replica/Deliver"
 	// PeerShareProcedure is the fully-qualified name of the Peer's Share RPC.
@@ -90,6 +98,15 @@
 	Spend(context.Context, *coltspb.SpendRequest) (*coltspb.SpendReply, error)
 	// ChangeReplicas adds, promotes or removes a control instance.
 	ChangeReplicas(context.Context, *coltspb.ChangeReplicasRequest) (*coltspb.ChangeReplicasReply, error)
+	// Join asks for a place in a group that forms itself.
+	Join(context.Context, *coltspb.JoinRequest) (*coltspb.JoinReply, error)
+	// Routes returns the route table that a quorum confirms to be the newest.
+	Routes(context.Context, *coltspb.RoutesRequest) (*coltspb.RoutesReply, error)
+	// Report takes in what an upstream reports of itself.
+	Report(context.Context, *coltspb.ReportRequest) (*coltspb.ReportReply, error)
+	// Watch answers as soon as something is newer than what the asker has, or after
+	// its wait.
+	Watch(context.Context, *coltspb.WatchRequest) (*coltspb.WatchReply, error)
 }
 
 // NewControlClient constructs a client for the colts.v1.Control service. By default, it uses the
@@ -157,6 +174,30 @@
 			connect.WithSchema(controlMethods.ByName("ChangeReplicas")),
 			connect.WithClientOptions(opts...),
 		),
+		join: connect.NewClient[coltspb.JoinRequest, coltspb.JoinReply](
+			httpClient,
+			baseURL+ControlJoinProcedure,
+			connect.WithSchema(controlMethods.ByName("Join")),
+			connect.WithClientOptions(opts...),
+		),
+		routes: connect.NewClient[coltspb.RoutesRequest, coltspb.RoutesReply](
+			httpClient,
+			baseURL+ControlRoutesProcedure,
+			connect.WithSchema(controlMethods.ByName("Routes")),
+			connect.WithClientOptions(opts...),
+		),
+		report: connect.NewClient[coltspb.ReportRequest, coltspb.ReportReply](
+			httpClient,
+			baseURL+ControlReportProcedure,
+			connect.WithSchema(controlMethods.ByName("Report")),
+			connect.WithClientOptions(opts...),
+		),
+		watch: connect.NewClient[coltspb.WatchRequest, coltspb.WatchReply](
+			httpClient,
+			baseURL+ControlWatchProcedure,
+			connect.WithSchema(controlMethods.ByName("Watch")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -171,6 +212,10 @@
 	wait           *connect.Client[coltspb.WaitRequest, coltspb.WaitReply]
 	spend          *connect.Client[coltspb.SpendRequest, coltspb.SpendReply]
 	changeReplicas *connect.Client[coltspb.ChangeReplicasRequest, coltspb.ChangeReplicasReply]
+	join           *connect.Client[coltspb.JoinRequest, coltspb.JoinReply]
+	routes         *connect.Client[coltspb.RoutesRequest, coltspb.RoutesReply]
+	report         *connect.Client[coltspb.ReportRequest, coltspb.ReportReply]
+	watch          *connect.Client[coltspb.WatchRequest, coltspb.WatchReply]
 }
 
 // Submit calls colts.v1.Control.Submit.
@@ -254,6 +299,42 @@
 	return nil, err
 }
 
+// Join calls colts.v1.Control.Join.
+func (c *controlClient) Join(ctx context.Context, req *coltspb.JoinRequest) (*coltspb.JoinReply, error) {
+	response, err := c.join.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// Routes calls colts.v1.Control.Routes.
+func (c *controlClient) Routes(ctx context.Context, req *coltspb.RoutesRequest) (*coltspb.RoutesReply, error) {
+	response, err := c.routes.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// Report calls colts.v1.Control.Report.
+func (c *controlClient) Report(ctx context.Context, req *coltspb.ReportRequest) (*coltspb.ReportReply, error) {
+	response, err := c.report.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// Watch calls colts.v1.Control.Watch.
+func (c *controlClient) Watch(ctx context.Context, req *coltspb.WatchRequest) (*coltspb.WatchReply, error) {
+	response, err := c.watch.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // ControlHandler is an implementation of the colts.v1.Control service.
 type ControlHandler interface {
 	// Submit carries out a command once it is durable.
@@ -274,6 +355,15 @@
 	Spend(context.Context, *coltspb.SpendRequest) (*coltspb.SpendReply, error)
 	// ChangeReplicas adds, promotes or removes a control instance.
 	ChangeReplicas(context.Context, *coltspb.ChangeReplicasRequest) (*coltspb.ChangeReplicasReply, error)
+	// Join asks for a place in a group that forms itself.
+	Join(context.Context, *coltspb.JoinRequest) (*coltspb.JoinReply, error)
+	// Routes returns the route table that a quorum confirms to be the newest.
+	Routes(context.Context, *coltspb.RoutesRequest) (*coltspb.RoutesReply, error)
+	// Report takes in what an upstream reports of itself.
+	Report(context.Context, *coltspb.ReportRequest) (*coltspb.ReportReply, error)
+	// Watch answers as soon as something is newer than what the asker has, or after
+	// its wait.
+	Watch(context.Context, *coltspb.WatchRequest) (*coltspb.WatchReply, error)
 }
 
 // NewControlHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -337,6 +427,30 @@
 		connect.WithSchema(controlMethods.ByName("ChangeReplicas")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlJoinHandler := connect.NewUnaryHandlerSimple(
+		ControlJoinProcedure,
+		svc.Join,
+		connect.WithSchema(controlMethods.ByName("Join")),
+		connect.WithHandlerOptions(opts...),
+	)
+	controlRoutesHandler := connect.NewUnaryHandlerSimple(
+		ControlRoutesProcedure,
+		svc.Routes,
+		connect.WithSchema(controlMethods.ByName("Routes")),
+		connect.WithHandlerOptions(opts...),
+	)
+	controlReportHandler := connect.NewUnaryHandlerSimple(
+		ControlReportProcedure,
+		svc.Report,
+		connect.WithSchema(controlMethods.ByName("Report")),
+		connect.WithHandlerOptions(opts...),
+	)
+	controlWatchHandler := connect.NewUnaryHandlerSimple(
+		ControlWatchProcedure,
+		svc.Watch,
+		connect.WithSchema(controlMethods.ByName("Watch")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/colts.v1.Control/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ControlSubmitProcedure:
@@ -357,6 +471,14 @@
 			controlSpendHandler.ServeHTTP(w, r)
 		case ControlChangeReplicasProcedure:
 			controlChangeReplicasHandler.ServeHTTP(w, r)
+		case ControlJoinProcedure:
+			controlJoinHandler.ServeHTTP(w, r)
+		case ControlRoutesProcedure:
+			controlRoutesHandler.ServeHTTP(w, r)
+		case ControlReportProcedure:
+			controlReportHandler.ServeHTTP(w, r)
+		case ControlWatchProcedure:
+			controlWatchHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -402,6 +524,22 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("colts.v1.Control.ChangeReplicas is not implemented"))
 }
 
+func (UnimplementedControlHandler) Join(context.Context, *coltspb.JoinRequest) (*coltspb.JoinReply, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("colts.v1.Control.Join is not implemented"))
+}
+
+func (UnimplementedControlHandler) Routes(context.Context, *coltspb.RoutesRequest) (*coltspb.RoutesReply, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("colts.v1.Control.Routes is not implemented"))
+}
+
+func (UnimplementedControlHandler) Report(context.Context, *coltspb.ReportRequest) (*coltspb.ReportReply, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("colts.v1.Control.Report is not implemented"))
+}
+
+func (UnimplementedControlHandler) Watch(context.Context, *coltspb.WatchRequest) (*coltspb.WatchReply, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("colts.v1.Control.Watch is not implemented"))
+}
+
 // ReplicaClient is a client for the colts.v1.Replica service.
 type ReplicaClient interface {
 	// Deliver hands over messages; they are answered by messages.
--- a/coltswire/wire_command.go
+++ b/coltswire/wire_command.go
@@ -30,6 +30,10 @@
 		m.Body = &coltspb.Command_Withdraw{Withdraw: EncodeGrant(c.Withdraw)}
 	case coltsstate.CommandUsage:
 		m.Body = &coltspb.Command_Usage{Usage: EncodeUsageBatch(c.Usage)}
+	case coltsstate.CommandRoutes:
+		m.Body = &coltspb.Command_Routes{Routes: EncodeRoutesText(c.Routes)}
+	case coltsstate.CommandWeights:
+		m.Body = &coltspb.Command_Weights{Weights: EncodeNamedWeights(c.Weights)}
 	}
 	return m
 }
@@ -61,6 +65,12 @@
 	case *coltspb.Command_Usage:
 		c.Kind = coltsstate.CommandUsage
 		c.Usage = DecodeUsageBatch(body.Usage)
+	case *coltspb.Command_Routes:
+		c.Kind = coltsstate.CommandRoutes
+		c.Routes = DecodeRoutesText(body.Routes)
+	case *coltspb.Command_Weights:
+		c.Kind = coltsstate.CommandWeights
+		c.Weights = DecodeNamedWeights(body.Weights)
 	default:
 		return c, errors.Errorf("command of unknown kind %T", body)
 	}
--- /dev/null
+++ b/coltswire/wire_registry.go
@@ -0,0 +1,97 @@
+package coltswire
+
+// Route tables, weight versions and the registry of upstreams, as control and the
+// entries tell each other of them.
+
+import (
+	"coltsfootstall/coltsidentity"
+	"coltsfootstall/coltsregistry"
+	"coltsfootstall/coltsroute"
+	"coltsfootstall/coltsweights"
+	"coltsfootstall/coltswire/coltspb"
+)
+
+// EncodeRoutesText returns a route table's message.
+func EncodeRoutesText(t coltsroute.Text) *coltspb.RoutesText {
+	return &coltspb.RoutesText{Version: uint64(t.Version), Source: t.Source}
+}
+
+// DecodeRoutesText reads a route table's message.
+func DecodeRoutesText(m *coltspb.RoutesText) coltsroute.Text {
+	return coltsroute.Text{Version: coltsroute.Version(m.GetVersion()), Source: m.GetSource()}
+}
+
+// EncodeNamedWeights returns a named version's message.
+func EncodeNamedWeights(n coltsweights.Named) *coltspb.NamedWeights {
+	return &coltspb.NamedWeights{Model: string(n.Model), Number: uint64(n.Number), At: EncodeTime(n.At)}
+}
+
+// DecodeNamedWeights reads a named version's message.
+func DecodeNamedWeights(m *coltspb.NamedWeights) coltsweights.Named {
+	return coltsweights.Named{Weights: decodeWeights(m), At: DecodeTime(m.GetAt())}
+}
+
+func encodeWeights(w coltsweights.Weights) *coltspb.NamedWeights {
+	return &coltspb.NamedWeights{Model: string(w.Model), Number: uint64(w.Number)}
+}
+
+func decodeWeights(m *coltspb.NamedWeights) coltsweights.Weights {
+	return coltsweights.Weights{
+		Model:  coltsidentity.Model(m.GetModel()),
+		Number: coltsweights.Number(m.GetNumber()),
+	}
+}
+
+// EncodeReportedUpstream returns a report's message.
+func EncodeReportedUpstream(u coltsregistry.Upstream) *coltspb.ReportedUpstream {
+	return &coltspb.ReportedUpstream{
+		Id:         string(u.ID),
+		Service:    string(u.Service),
+		Addr:       encodeAddr(u.Addr),
+		DataCentre: string(u.DataCentre),
+		Slots:      int32(u.Slots),
+		State:      int32(u.State),
+		Weights:    convert(u.Weights, encodeWeights),
+		Born:       EncodeTime(u.Born),
+		Sequence:   u.Sequence,
+	}
+}
+
+// DecodeReportedUpstream reads a report's message.
+func DecodeReportedUpstream(m *coltspb.ReportedUpstream) coltsregistry.Upstream {
+	return coltsregistry.Upstream{
+		ID:         coltsidentity.Upstream(m.GetId()),
+		Service:    coltsidentity.Service(m.GetService()),
+		Addr:       decodeAddr(m.GetAddr()),
+		DataCentre: coltsidentity.DataCentre(m.GetDataCentre()),
+		Slots:      int(m.GetSlots()),
+		State:      coltsregistry.State(m.GetState()),
+		Weights:    convert(m.GetWeights(), decodeWeights),
+		Born:       DecodeTime(m.GetBorn()),
+		Sequence:   m.GetSequence(),
+	}
+}
+
+// EncodeRegistryEntries returns the entries' messages.
+func EncodeRegistryEntries(entries []coltsregistry.Entry) []*coltspb.RegistryEntry {
+	return convert(entries, func(e coltsregistry.Entry) *coltspb.RegistryEntry {
+		return &coltspb.RegistryEntry{Upstream: EncodeReportedUpstream(e.Upstream), Silent: e.Silent}
+	})
+}
+
+// DecodeRegistryEntries reads the entries' messages.
+func DecodeRegistryEntries(messages []*coltspb.RegistryEntry) []coltsregistry.Entry {
+	return convert(messages, func(m *coltspb.RegistryEntry) coltsregistry.Entry {
+		return coltsregistry.Entry{Upstream: DecodeReportedUpstream(m.GetUpstream()), Silent: m.GetSilent()}
+	})
+}
+
+// EncodeNamed returns the messages of the named versions.
+func EncodeNamed(all []coltsweights.Named) []*coltspb.NamedWeights {
+	return convert(all, EncodeNamedWeights)
+}
+
+// DecodeNamed reads the messages of the named versions.
+func DecodeNamed(messages []*coltspb.NamedWeights) []coltsweights.Named {
+	return convert(messages, DecodeNamedWeights)
+}
--- a/coltswire/wire_snapshot.go
+++ b/coltswire/wire_snapshot.go
@@ -31,6 +31,8 @@
 		Bookings:  convert(s.Bookings, EncodeBooking),
 		Lines:     convert(s.Lines, EncodeUsageLine),
 		Sources:   convert(s.Sources, encodeUsageSource),
+		Routes:    EncodeRoutesText(s.Routes),
+		Weights:   convert(s.Weights, EncodeNamedWeights),
 	})
 	return b, errors.Wrap(err, "marshal snapshot")
 }
@@ -52,6 +54,8 @@
 		Bookings:  convert(m.GetBookings(), DecodeBooking),
 		Lines:     convert(m.GetLines(), DecodeUsageLine),
 		Sources:   convert(m.GetSources(), decodeUsageSource),
+		Routes:    DecodeRoutesText(m.GetRoutes()),
+		Weights:   convert(m.GetWeights(), DecodeNamedWeights),
 	}
 	for _, change := range m.GetChanges() {
 		record, err := DecodeChangeRecord(change)
