Bring runners to named weights, and read settings again on a hang-up.

Change: a rollout asks a runner how it stands, orders it with the leader's term as fencing token and the number of orders it must have taken, a sixth of the runners at once; entries send only to runners with a version that is due.

--- a/coltsbalance/balance_upstream.go
+++ b/coltsbalance/balance_upstream.go
@@ -39,6 +39,10 @@
 	Affinity []byte
 	// Weight is the work that it means, in requests of ordinary size.
 	Weight float64
+	// Model is the model that the request needs, and Least the lowest version of it
+	// that may serve the request; 0 for any.
+	Model coltsidentity.Model
+	Least coltsweights.Number
 	// Exclude are upstreams that were tried already.
 	Exclude []coltsidentity.Upstream
 }
@@ -95,6 +99,7 @@
 type upstream struct {
 	record  coltsregistry.Upstream
 	silent  bool
+	loading bool
 	running int
 	load    float64
 	// failures counts those in a row; restUntil is until when it is left alone.
@@ -109,7 +114,13 @@
 	return u.record.State == coltsregistry.StateReady && (!u.silent || now.Before(u.provenUntil))
 }
 
-func (u *upstream) rests(now time.Time) bool { return now.Before(u.restUntil) }
+// rests says whether the upstream is left alone while others can be chosen.
+func (u *upstream) rests(now time.Time) bool { return u.loading || now.Before(u.restUntil) }
+
+// has returns the version of a model that the upstream has, 0 if unknown.
+func (u *upstream) has(model coltsidentity.Model) coltsweights.Number {
+	return Choice{Upstream: u.record}.Weights(model)
+}
 
 // note takes in how a request ended.
 func (u *upstream) note(outcome Outcome, now time.Time) {
--- a/coltsbalance/balancer.go
+++ b/coltsbalance/balancer.go
@@ -54,7 +54,7 @@
 	if known && e.Upstream.Born.After(u.record.Born) {
 		u.failures, u.restUntil = 0, time.Time{}
 	}
-	u.record, u.silent = e.Upstream, e.Silent
+	u.record, u.silent, u.loading = e.Upstream, e.Silent, e.Loading
 }
 
 // Forget drops the upstreams that left, except those with requests under way, and
@@ -109,7 +109,7 @@
 				continue
 			}
 			known++
-			if !u.usable(now) || slices.Contains(d.Exclude, id) {
+			if !u.usable(now) || slices.Contains(d.Exclude, id) || u.has(d.Model) < d.Least {
 				continue
 			}
 			c := candidate{id: id, load: u.load, rests: u.rests(now), rank: coltsshard.Rank(d.Affinity, id)}
--- a/coltscommand/command_instance.go
+++ b/coltscommand/command_instance.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -82,18 +83,27 @@
 type instance struct {
 	start    func() error
 	shutdown func() error
+	// reload takes in that the settings file has changed; nil if nothing of it can
+	// change while the instance runs.
+	reload func(coltssettings.Settings)
 	// broken is closed when the instance can't go on and must be started again; nil
 	// if that never happens.
 	broken <-chan struct{}
 }
 
 // runInstance starts an instance and stops it when asked.
-func runInstance(ctx context.Context, i instance) error {
+func runInstance(ctx context.Context, c *cli.Command, log *coltslog.Log, i instance) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	// From here on a hang-up asks for the settings to be read again.
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	defer signal.Stop(hangUps)
 	if err := i.start(); err != nil {
 		return err
 	}
+	r := &reloader{file: c.String("settings"), log: log.Part("settings"), apply: i.reload}
+	go r.run(ctx, hangUps)
 	select {
 	case <-ctx.Done():
 		return i.shutdown()
@@ -116,11 +126,12 @@
 	if err != nil {
 		return err
 	}
-	entry, err := coltsentry.New(coltsentry.Config{Settings: settings, Log: newLog(c, settings)})
+	log := newLog(c, settings)
+	entry, err := coltsentry.New(coltsentry.Config{Settings: settings, Log: log})
 	if err != nil {
 		return err
 	}
-	return runInstance(ctx, instance{start: entry.Start, shutdown: entry.Shutdown})
+	return runInstance(ctx, c, log, instance{start: entry.Start, shutdown: entry.Shutdown})
 }
 
 func runControl(ctx context.Context, c *cli.Command) error {
@@ -129,18 +140,20 @@
 		return err
 	}
 	log := newLog(c, settings)
-	control, err := coltscontrol.New(coltscontrol.Config{Settings: settings, Log: log})
+	control, err := coltscontrol.New(coltscontrol.Config{
+		Settings: settings, Log: log, Runners: platform.NewRunnerClient().Runners(),
+	})
 	if err != nil {
 		return err
 	}
-	i := instance{start: control.Start, shutdown: control.Shutdown, broken: control.Broken()}
+	i := instance{start: control.Start, shutdown: control.Shutdown, reload: control.Reload, broken: control.Broken()}
 	if !settings.Control.ServiceAddr.IsValid() {
-		return runInstance(ctx, i)
+		return runInstance(ctx, c, log, i)
 	}
 	service := platform.NewControlServer(platform.ControlConfig{Addr: settings.Control.ServiceAddr, Control: control, Log: log})
 	i.start = inOrder(control.Start, service.Start)
 	i.shutdown = inOrder(service.Shutdown, control.Shutdown)
-	return runInstance(ctx, i)
+	return runInstance(ctx, c, log, i)
 }
 
 func runGateway(ctx context.Context, c *cli.Command) error {
@@ -148,10 +161,9 @@
 	if err != nil {
 		return err
 	}
-	gateway := coltsgateway.New(coltsgateway.Config{
-		Settings: settings, Dialect: platform.Dialect(), Log: newLog(c, settings),
-	})
-	return runInstance(ctx, instance{start: gateway.Start, shutdown: gateway.Shutdown})
+	log := newLog(c, settings)
+	gateway := coltsgateway.New(coltsgateway.Config{Settings: settings, Dialect: platform.Dialect(), Log: log})
+	return runInstance(ctx, c, log, instance{start: gateway.Start, shutdown: gateway.Shutdown, reload: gateway.Reload})
 }
 
 // inOrder returns a function that calls others until one fails.
--- a/coltscontrol/control.go
+++ b/coltscontrol/control.go
@@ -50,6 +50,8 @@
 	// InitialDocument is a document's text to begin with when the state is
 	// empty; nil to read the file that the settings name.
 	InitialDocument []byte
+	// Runners speaks to model runners, for the roll-out of weights.
+	Runners Runners
 	// Sync makes a file's content durable; nil for (*os.File).Sync.
 	Sync func(*os.File) error
 }
@@ -75,6 +77,8 @@
 	registrySource string
 	// routes is the newest route table that this instance has applied.
 	routes atomic.Pointer[coltsroute.Text]
+	// seeds are the hosts through which the group is found; a reload changes them.
+	seeds atomic.Pointer[[]netip.AddrPort]
 	// news is fired when routes, weights, registry or group have changed.
 	news *signal
 
@@ -115,6 +119,7 @@
 	}
 	c.registrySource = string(c.id()) + " " + c.started.Format(time.RFC3339Nano)
 	c.routes.Store(&coltsroute.Text{})
+	c.seeds.Store(&c.settings.Seeds)
 	if err := c.loadInitialDocument(); err != nil {
 		return nil, err
 	}
@@ -155,6 +160,9 @@
 	if c.formsItself() {
 		c.loops.Go(func() { c.keepGroup(c.running) })
 		c.loops.Go(func() { c.keepRegistry(c.running) })
+		if c.cfg.Runners.Ask != nil && c.cfg.Runners.Order != nil {
+			c.loops.Go(func() { c.rollOutWeights(c.running) })
+		}
 	}
 	c.loops.Go(func() { c.bootstrap(c.running) })
 	c.loops.Go(func() { c.giveOrders(c.running) })
@@ -189,6 +197,15 @@
 // Broken is closed when the disk has failed and this instance takes no more part.
 func (c *Control) Broken() <-chan struct{} { return c.driver.brokeDown }
 
+// Reload takes over the settings that can change while the instance runs: the seeds.
+func (c *Control) Reload(s coltssettings.Settings) {
+	seeds := s.Control.Seeds
+	if len(seeds) > 0 {
+		c.seeds.Store(&seeds)
+	}
+	c.log.Info("Seeds known.", coltslog.Fields{"seeds": seeds})
+}
+
 // Revision returns the document's revision in force.
 func (c *Control) Revision() coltsdocument.Revision {
 	return c.machine.Register.Current().Revision
--- a/coltscontrol/control_identity.go
+++ b/coltscontrol/control_identity.go
@@ -71,8 +71,9 @@
 // seedAddrs returns where the seeds are reached by other instances: the seeds'
 // hosts, and the port that this instance uses itself.
 func (c *Control) seedAddrs() []netip.AddrPort {
-	addrs := make([]netip.AddrPort, 0, len(c.settings.Seeds))
-	for _, seed := range c.settings.Seeds {
+	seeds := *c.seeds.Load()
+	addrs := make([]netip.AddrPort, 0, len(seeds))
+	for _, seed := range seeds {
 		addrs = append(addrs, netip.AddrPortFrom(seed.Addr(), c.settings.Addr.Port()))
 	}
 	return addrs
--- a/coltsgateway/control_watch.go
+++ b/coltsgateway/control_watch.go
@@ -98,7 +98,7 @@
 // addrs returns the control instances to ask, in order.
 func (w *controlWatcher) addrs() []netip.AddrPort {
 	addrs := slices.Clone(w.known)
-	for _, seed := range w.g.settings.Seeds {
+	for _, seed := range *w.g.seeds.Load() {
 		addr := netip.AddrPortFrom(seed.Addr(), uint16(w.g.settings.ControlPort))
 		if !slices.Contains(addrs, addr) {
 			addrs = append(addrs, addr)
@@ -195,6 +195,8 @@
 
 func (w *controlWatcher) takeWeights(reply *coltspb.WatchReply) {
 	for _, n := range coltswire.DecodeNamed(reply.GetWeights()) {
+		// The naming is as old as this instance's knowledge of it, by its own clock.
+		n.At = w.g.now()
 		if w.g.weights.Name(n) {
 			w.g.log.Info("A weight version is wanted.", coltslog.Fields{"model": n.Model, "number": n.Number})
 		}
--- a/coltsgateway/forward_request.go
+++ b/coltsgateway/forward_request.go
@@ -19,11 +19,9 @@
 	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsmetric"
 	"coltsfootstall/coltsroute"
+	"coltsfootstall/coltsweights"
 )
 
-// writeTimeout bounds a write to a caller that takes nothing.
-const writeTimeout = 10 * time.Second
-
 // forwarding is one request under way.
 type forwarding struct {
 	g      *Gateway
@@ -144,13 +142,30 @@
 	if f.life.Asked.PromptTokens > 0 {
 		weight += float64(f.life.Asked.PromptTokens) / tokensPerRequest
 	}
-	d := coltsbalance.Demand{Service: f.life.Service, Weight: weight, Exclude: f.life.Tried()}
+	d := coltsbalance.Demand{
+		Service: f.life.Service, Weight: weight, Exclude: f.life.Tried(),
+		Model: f.life.Asked.Model, Least: f.leastWeights(),
+	}
 	if f.life.Route.Sticky {
 		d.Affinity = []byte(f.life.Affinity())
 	}
 	return d
 }
 
+// weightsMargin is how long before a named version is due requests stop going to runners
+// without it: they may wait there before they begin.
+const weightsMargin = time.Second
+
+// leastWeights returns the lowest version that may serve the request, 0 for any.
+func (f *forwarding) leastWeights() coltsweights.Number {
+	due := f.g.settings.WeightsDue
+	wanted := f.g.weights.Wanted(f.life.Asked.Model)
+	if due == 0 || wanted.Number == 0 || f.g.now().Before(wanted.At.Add(due-weightsMargin)) {
+		return 0
+	}
+	return wanted.Number
+}
+
 // exchange sends the request to the chosen upstream and passes its answer on.
 func (f *forwarding) exchange(ctx context.Context) *attemptError {
 	x, failure := f.g.exchangeWith(ctx, f.choice, f.outgoing())
--- a/coltsgateway/gateway.go
+++ b/coltsgateway/gateway.go
@@ -59,6 +59,8 @@
 	budget   *coltsattempt.Window
 	pool     *coltspool.Pool
 	watcher  *controlWatcher
+	// seeds are the hosts through which control is found; a reload changes them.
+	seeds atomic.Pointer[[]netip.AddrPort]
 	// instances is the number of entry instances that share the budget.
 	instances atomic.Int64
 
@@ -105,6 +107,7 @@
 		}),
 	}
 	g.instances.Store(1)
+	g.seeds.Store(&g.settings.Seeds)
 	g.watcher = newControlWatcher(g)
 	return g
 }
@@ -148,6 +151,15 @@
 	}
 }
 
+// Reload takes over the settings that can change while the instance runs: the seeds.
+func (g *Gateway) Reload(s coltssettings.Settings) {
+	seeds := s.Gateway.Seeds
+	if len(seeds) > 0 {
+		g.seeds.Store(&seeds)
+	}
+	g.log.Info("Seeds known.", coltslog.Fields{"seeds": seeds})
+}
+
 // CallerAddr returns where callers are served.
 func (g *Gateway) CallerAddr() netip.AddrPort { return coltslink.AddrOf(g.callers) }
 
--- a/coltsregistry/registry.go
+++ b/coltsregistry/registry.go
@@ -8,12 +8,14 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltsshard"
+	"coltsfootstall/coltsweights"
 )
 
 const (
@@ -92,8 +94,12 @@
 		if err := overtaken(rec.entry.Upstream, u); err != nil {
 			return false, err
 		}
+		u.Weights = u.newestWeights(rec.entry.Upstream)
 	}
 	changed := !known || rec.entry.news(u)
+	if known && !rec.entry.Upstream.Born.Equal(u.Born) {
+		rec.entry.Loading = false
+	}
 	rec.silentAt = now.Add(r.cfg.SilentAfter)
 	rec.forgetAt = now.Add(forgetAfter)
 	rec.entry.Upstream = u
@@ -163,18 +169,44 @@
 	return true
 }
 
-// Loaded takes in that an upstream's process has loaded weights.
-func (r *Registry) Loaded(u Upstream) bool {
-	s := &r.shards[coltsshard.Of(u.ID)]
+// Loaded takes in that an upstream's process has loaded weights, and says whether that
+// is news.
+func (r *Registry) Loaded(id coltsidentity.Upstream, born time.Time, w coltsweights.Weights) bool {
+	return r.change(id, born, func(e *Entry) bool {
+		weights := slices.Clone(e.Upstream.Weights)
+		changed := false
+		for i, has := range weights {
+			if has.Model == w.Model && has.Number < w.Number {
+				weights[i] = w
+				changed = true
+			}
+		}
+		e.Upstream.Weights = weights
+		return changed
+	})
+}
+
+// SetLoading takes in whether an upstream's process is loading weights, and says
+// whether that is news.
+func (r *Registry) SetLoading(id coltsidentity.Upstream, born time.Time, loading bool) bool {
+	return r.change(id, born, func(e *Entry) bool {
+		changed := e.Loading != loading
+		e.Loading = loading
+		return changed
+	})
+}
+
+// change changes the entry of an upstream's process; apply says whether it did.
+func (r *Registry) change(id coltsidentity.Upstream, born time.Time, apply func(*Entry) bool) bool {
+	s := &r.shards[coltsshard.Of(id)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	rec, known := s.entries[u.ID]
-	if !known || !rec.entry.Upstream.Born.Equal(u.Born) || !rec.entry.news(u) {
+	rec, known := s.entries[id]
+	if !known || !rec.entry.Upstream.Born.Equal(born) || !apply(&rec.entry) {
 		return false
 	}
-	rec.entry.Upstream.Weights = u.Weights
 	rec.entry.Revision = r.revision.Add(1)
-	s.entries[u.ID] = rec
+	s.entries[id] = rec
 	return true
 }
 
--- a/coltsregistry/registry_test.go
+++ b/coltsregistry/registry_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"coltsfootstall/coltsidentity"
+	"coltsfootstall/coltsweights"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -94,6 +95,32 @@
 	})
 }
 
+func TestWeights(t *testing.T) {
+	weights := func(n coltsweights.Number) []coltsweights.Weights {
+		return []coltsweights.Weights{{Model: "m", Number: n}}
+	}
+	r := newRegistry()
+	u := report("a", 0, 1, StateReady)
+	u.Weights = weights(1)
+	assertTaken(t, r, u, true)
+	t.Run("a load is believed at once", func(t *testing.T) {
+		assert.Assert(t, r.Loaded("a", u.Born, weights(2)[0]))
+		assert.Assert(t, !r.Loaded("a", u.Born, weights(2)[0]))
+	})
+	t.Run("a report from before it does not take it back", func(t *testing.T) {
+		late := report("a", 0, 2, StateReady)
+		late.Weights = weights(1)
+		assertTaken(t, r, late, false)
+		e, _ := r.Find("a")
+		assert.Equal(t, e.Upstream.Weights[0].Number, coltsweights.Number(2))
+	})
+	t.Run("a new process has what it says", func(t *testing.T) {
+		again := report("a", 1, 1, StateReady)
+		again.Weights = weights(1)
+		assertTaken(t, r, again, true)
+	})
+}
+
 func TestSweep(t *testing.T) {
 	t.Run("marks who is overdue, once, and believes the next report", func(t *testing.T) {
 		r := newRegistry()
--- a/coltsregistry/registry_upstream.go
+++ b/coltsregistry/registry_upstream.go
@@ -64,11 +64,30 @@
 	Sequence uint64
 }
 
+// newestWeights returns the weights of a report without going back behind what is known
+// of the same process: a report may have been written before a load ended.
+func (u Upstream) newestWeights(known Upstream) []coltsweights.Weights {
+	if !u.Born.Equal(known.Born) {
+		return u.Weights
+	}
+	weights := slices.Clone(u.Weights)
+	for i, w := range weights {
+		for _, k := range known.Weights {
+			if k.Model == w.Model {
+				weights[i].Number = max(w.Number, k.Number)
+			}
+		}
+	}
+	return weights
+}
+
 // Entry is an upstream as the registry believes it to be.
 type Entry struct {
 	Upstream Upstream
 	// Silent says that reports are overdue; the upstream may still work.
 	Silent bool
+	// Loading says that it loads weights and starts nothing new meanwhile.
+	Loading bool
 	// Revision numbers the change that made the entry what it is.
 	Revision uint64
 }
--- a/coltssettings/settings.go
+++ b/coltssettings/settings.go
@@ -56,6 +56,7 @@
 	Seeds           []netip.AddrPort `json:"seeds" unit:"addresses" usage:"hosts of instances through which a group that forms itself is found; their port is that of control/address; empty for a group that replicas lists"`
 	Founds          bool             `json:"founds" unit:"" usage:"an instance that is a seed and has an empty folder founds the group together with the other seeds"`
 	ToleratedLosses int              `json:"tolerated-losses" unit:"instances" min:"0" usage:"instances whose loss at the same time a group that forms itself must bear"`
+	OrderWait       time.Duration    `json:"order-wait" unit:"duration" min:"0s" usage:"time for which a new leader gives runners no orders to load weights, so that two holders of that right don't take turns"`
 	SilentAfter     time.Duration    `json:"silent-after" unit:"duration" min:"100ms" usage:"time without a report after which an upstream counts as silent"`
 	Replicas        []Replica        `json:"replicas" unit:"instances" usage:"every control instance of the group: instance, address, and joins for one that is added to a running group; empty for a group of one"`
 }
@@ -79,6 +80,7 @@
 
 	RetryRatio  float64       `json:"retry-ratio" unit:"share" usage:"attempts after the first one, as a share of a service's requests, that all gateways together may make"`
 	RetrySlack  int           `json:"retry-slack" unit:"attempts" min:"0" usage:"attempts after the first one that are allowed besides that share, in all gateways together"`
+	WeightsDue  time.Duration `json:"weights-due" unit:"duration" min:"0s" usage:"time after the naming of a weight version from which requests are sent only to runners that have it; 0s for never"`
 	RetryWindow time.Duration `json:"retry-window" unit:"duration" min:"1s" usage:"span over which both are counted"`
 	Grace       time.Duration `json:"grace" unit:"duration" min:"100ms" usage:"time between the request to stop and the end of the process"`
 }
@@ -125,6 +127,7 @@
 			SegmentBytes:  64 << 20,
 			SnapshotEvery: 10_000,
 			MaxLoading:    3,
+			OrderWait:     3 * time.Second,
 			SilentAfter:   5 * time.Second,
 		},
 	}
--- /dev/null
+++ b/coltsweights/weights_test.go
@@ -0,0 +1,106 @@
+package coltsweights
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootstall/coltsidentity"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+func runners(n int) []Runner {
+	var all []Runner
+	for i := range n {
+		all = append(all, Runner{ID: coltsidentity.Upstream(fmt.Sprintf("r%02d", i)), Has: Weights{Model: "m", Number: 1}})
+	}
+	return all
+}
+
+func want(coltsidentity.Model) Weights { return Weights{Model: "m", Number: 2} }
+
+// assertTasks asserts that a plan has so many tasks of a kind.
+func assertTasks(t *testing.T, tasks []Task, n int, kind TaskKind) {
+	t.Helper()
+	assert.Equal(t, len(tasks), n)
+	for _, task := range tasks {
+		assert.Equal(t, task.Kind, kind)
+		assert.Equal(t, task.Want, Weights{Model: "m", Number: 2})
+	}
+}
+
+// stand answers every question alike.
+func stand(r *Rollout, tasks []Task, s Standing, at time.Time) {
+	for _, task := range tasks {
+		r.Stands(task, s, nil, at)
+	}
+}
+
+func has(n Number) []Weights { return []Weights{{Model: "m", Number: n}} }
+
+func TestRollout(t *testing.T) {
+	t.Run("a sixth of the runners is asked, then ordered", func(t *testing.T) {
+		r := NewRollout()
+		tasks := r.Plan(runners(18), want, 18, 1, now)
+		assertTasks(t, tasks, 3, TaskAsk)
+		assertTasks(t, r.Plan(runners(18), want, 18, 1, now), 0, TaskAsk)
+		stand(r, tasks, Standing{Has: has(1), Orders: 4}, now)
+		orders := r.Plan(runners(18), want, 18, 1, now)
+		assertTasks(t, orders, 3, TaskOrder)
+		assert.Equal(t, orders[0].Orders, uint64(4))
+	})
+	t.Run("one that has the version makes room for the next", func(t *testing.T) {
+		r := NewRollout()
+		tasks := r.Plan(runners(6), want, 6, 1, now)
+		stand(r, tasks, Standing{Has: has(2)}, now)
+		assertTasks(t, r.Plan(runners(6)[1:], want, 6, 1, now), 1, TaskAsk)
+	})
+	t.Run("one that loads is asked again and not ordered again", func(t *testing.T) {
+		r := NewRollout()
+		stand(r, r.Plan(runners(1), want, 1, 1, now), Standing{Has: has(1)}, now)
+		order := r.Plan(runners(1), want, 1, 1, now)
+		assertTasks(t, order, 1, TaskOrder)
+		r.Ordered(order[0], nil, now)
+		assert.Assert(t, r.UnderWay("r00"))
+		assertTasks(t, r.Plan(runners(1), want, 1, 1, now), 0, TaskAsk)
+		asks := r.Plan(runners(1), want, 1, 1, now.Add(loadTime))
+		assertTasks(t, asks, 1, TaskAsk)
+		stand(r, asks, Standing{Has: has(1), Loading: true}, now.Add(loadTime))
+		assertTasks(t, r.Plan(runners(1), want, 1, 1, now.Add(loadTime+askEvery)), 1, TaskAsk)
+	})
+	t.Run("an order without an answer is looked into before another", func(t *testing.T) {
+		r := NewRollout()
+		stand(r, r.Plan(runners(1), want, 1, 1, now), Standing{Has: has(1)}, now)
+		order := r.Plan(runners(1), want, 1, 1, now)
+		r.Ordered(order[0], errors.New("no answer"), now)
+		assertTasks(t, r.Plan(runners(1), want, 1, 1, now.Add(retryAfter)), 1, TaskAsk)
+	})
+	t.Run("a holder that was overtaken orders nothing more", func(t *testing.T) {
+		r := NewRollout()
+		stand(r, r.Plan(runners(1), want, 1, 3, now), Standing{Has: has(1)}, now)
+		order := r.Plan(runners(1), want, 1, 3, now)
+		r.Ordered(order[0], &FencedError{Runner: "r00", Fence: 3}, now)
+		assertTasks(t, r.Plan(runners(1), want, 1, 3, now.Add(time.Minute)), 0, TaskAsk)
+		assertTasks(t, r.Plan(runners(1), want, 1, 4, now.Add(time.Minute)), 1, TaskAsk)
+	})
+}
+
+func TestAtOnce(t *testing.T) {
+	for runners, most := range map[int]int{1: 1, 9: 2, 18: 3, 60: 10, 90: 15} {
+		t.Run(fmt.Sprint(runners, " runners"), func(t *testing.T) { assert.Equal(t, AtOnce(runners), most) })
+	}
+}
+
+func TestRegister(t *testing.T) {
+	r := NewRegister()
+	t.Run("versions only rise", func(t *testing.T) {
+		assert.Assert(t, r.Name(Named{Weights: Weights{Model: "m", Number: 2}}))
+		assert.Assert(t, !r.Name(Named{Weights: Weights{Model: "m", Number: 2}}))
+		assert.Assert(t, !r.Name(Named{Weights: Weights{Model: "m", Number: 1}}))
+		assert.Equal(t, r.Wanted("m").Number, Number(2))
+	})
+}
--- a/coltswire/wire_registry.go
+++ b/coltswire/wire_registry.go
@@ -75,14 +75,14 @@
 // EncodeRegistryEntries returns the entries' messages.
 func EncodeRegistryEntries(entries []coltsregistry.Entry) []*coltspb.RegistryEntry {
 	return convert(entries, func(e coltsregistry.Entry) *coltspb.RegistryEntry {
-		return &coltspb.RegistryEntry{Upstream: EncodeReportedUpstream(e.Upstream), Silent: e.Silent}
+		return &coltspb.RegistryEntry{Upstream: EncodeReportedUpstream(e.Upstream), Silent: e.Silent, Loading: e.Loading}
 	})
 }
 
 // DecodeRegistryEntries reads the entries' messages.
 func DecodeRegistryEntries(messages []*coltspb.RegistryEntry) []coltsregistry.Entry {
 	return convert(messages, func(m *coltspb.RegistryEntry) coltsregistry.Entry {
-		return coltsregistry.Entry{Upstream: DecodeReportedUpstream(m.GetUpstream()), Silent: m.GetSilent()}
+		return coltsregistry.Entry{Upstream: DecodeReportedUpstream(m.GetUpstream()), Silent: m.GetSilent(), Loading: m.GetLoading()}
 	})
 }
 
