Save prompts' parts in stores, fetch them from there, and share loads among entries.

Change: the leader follows each store's events and keeps a catalogue; entries follow it and plan a fetch or a save for each shared part; entries tell the leader what they have under way and hear of the others; the least loaded of a few runners drawn by lot takes a request, where the home of its parts may be a tenth fuller.

--- a/coltsbalance/balance_upstream.go
+++ b/coltsbalance/balance_upstream.go
@@ -26,10 +26,8 @@
 	// provenFor is how long an answer speaks for an upstream that has fallen silent
 	// towards control.
 	provenFor = 2 * time.Second
-	// loadSlack is how far above the others' mean load the home of a prompt may be
-	// and still get it, as a factor and in requests.
-	loadFactor = 1.5
-	loadSlack  = 3
+	// othersFor is how long the word of the other instances' loads counts.
+	othersFor = 2 * time.Second
 )
 
 // Demand is what a request asks of an upstream.
@@ -37,8 +35,12 @@
 	Service coltsidentity.Service
 	// Affinity names what the request shares with others; empty for nothing.
 	Affinity []byte
-	// Weight is the work that it means, in requests of ordinary size.
-	Weight float64
+	// Weight is the work that it means, and Capacity what one upstream has room for,
+	// both in the unit of the service: tokens of memory, or requests.
+	Weight   float64
+	Capacity float64
+	// HomeBonus is what it is worth to reach the home, as a share of the capacity.
+	HomeBonus float64
 	// Model is the model that the request needs, and Least the lowest version of it
 	// that may serve the request; 0 for any.
 	Model coltsidentity.Model
@@ -102,6 +104,9 @@
 	loading bool
 	running int
 	load    float64
+	// others is what the other instances have under way here, until it is too old.
+	others      float64
+	othersUntil time.Time
 	// failures counts those in a row; restUntil is until when it is left alone.
 	failures  int
 	restUntil time.Time
@@ -114,6 +119,14 @@
 	return u.record.State == coltsregistry.StateReady && (!u.silent || now.Before(u.provenUntil))
 }
 
+// total is all that is known to be under way.
+func (u *upstream) total(now time.Time) float64 {
+	if now.Before(u.othersUntil) {
+		return u.load + u.others
+	}
+	return u.load
+}
+
 // rests says whether the upstream is left alone while others can be chosen.
 func (u *upstream) rests(now time.Time) bool { return u.loading || now.Before(u.restUntil) }
 
--- a/coltsbalance/balancer.go
+++ b/coltsbalance/balancer.go
@@ -5,6 +5,8 @@
 // request may have been sent there, which costs a little balance and no promise.
 
 import (
+	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -16,6 +18,7 @@
 
 // Balancer holds the upstreams. It may be used concurrently.
 type Balancer struct {
+	cfg    Config
 	shards [coltsshard.Count]balancerShard
 }
 
@@ -24,9 +27,18 @@
 	upstreams map[coltsidentity.Upstream]*upstream
 }
 
+// Config says how a balancer chooses.
+type Config struct {
+	// Random returns a number from 0 to n-1; nil for a random one.
+	Random func(n int) int
+}
+
 // New returns a balancer that knows no upstream.
-func New() *Balancer {
-	b := &Balancer{}
+func New(cfg Config) *Balancer {
+	if cfg.Random == nil {
+		cfg.Random = rand.IntN
+	}
+	b := &Balancer{cfg: cfg}
 	for i := range b.shards {
 		b.shards[i].upstreams = map[coltsidentity.Upstream]*upstream{}
 	}
@@ -85,7 +97,7 @@
 func (b *Balancer) Choose(d Demand, now time.Time) (Choice, error) {
 	candidates, known := b.candidates(d, now)
 	for len(candidates) > 0 {
-		i, home := pick(d, candidates)
+		i, home := b.pick(d, candidates)
 		choice, ok := b.take(candidates[i].id, d, now)
 		if ok {
 			choice.Home = home
@@ -112,7 +124,7 @@
 			if !u.usable(now) || slices.Contains(d.Exclude, id) || u.has(d.Model) < d.Least {
 				continue
 			}
-			c := candidate{id: id, load: u.load, rests: u.rests(now), rank: coltsshard.Rank(d.Affinity, id)}
+			c := candidate{id: id, load: u.total(now), rests: u.rests(now), rank: coltsshard.Rank(d.Affinity, id)}
 			if !c.rests {
 				awake++
 			}
@@ -126,35 +138,43 @@
 	return all, known
 }
 
-// pick returns the index of the candidate to take and whether it is the demand's
-// home. A demand without affinity goes to the least loaded one.
-func pick(d Demand, candidates []candidate) (int, bool) {
-	least, total := 0, 0.0
-	for i, c := range candidates {
-		total += c.load
-		if c.load < candidates[least].load || c.load == candidates[least].load && c.rank > candidates[least].rank {
-			least = i
+// pick returns the index of the candidate to take and whether it is the demand's home:
+// the least loaded of some that are drawn by lot, where the home always takes part and
+// may be loaded above the others by its bonus. All instances hear of each other's loads
+// a moment late; if each took the least loaded one of all, they would all take the same.
+func (b *Balancer) pick(d Demand, candidates []candidate) (int, bool) {
+	home := -1
+	if len(d.Affinity) > 0 {
+		for i, c := range candidates {
+			if home < 0 || c.rank > candidates[home].rank {
+				home = i
+			}
 		}
 	}
-	if len(d.Affinity) == 0 {
-		return least, false
-	}
-	bound := loadFactor*total/float64(len(candidates)) + loadSlack
-	best, home := -1, 0
-	for i, c := range candidates {
-		if c.rank > candidates[home].rank {
-			home = i
-		}
-		if c.load <= bound && (best < 0 || c.rank > candidates[best].rank) {
+	best := home
+	for range drawn(len(candidates)) {
+		i := b.cfg.Random(len(candidates))
+		if best < 0 || costOf(d, candidates[i], i == home) < costOf(d, candidates[best], best == home) {
 			best = i
 		}
 	}
-	if best < 0 {
-		return least, false
-	}
 	return best, best == home
 }
 
+// drawn is how many of a number of candidates are compared.
+func drawn(candidates int) int {
+	return 1 + int(math.Sqrt(float64(candidates)))
+}
+
+// costOf is the load that a candidate would have, as a share of its capacity.
+func costOf(d Demand, c candidate, home bool) float64 {
+	cost := (c.load + d.Weight) / max(1, d.Capacity)
+	if home {
+		cost -= d.HomeBonus
+	}
+	return cost
+}
+
 // take counts a request at an upstream unless it has become unusable.
 func (b *Balancer) take(id coltsidentity.Upstream, d Demand, now time.Time) (Choice, bool) {
 	s := &b.shards[coltsshard.Of(id)]
@@ -188,6 +208,38 @@
 	}
 }
 
+// Loads returns what this instance has under way, where it has any.
+func (b *Balancer) Loads() []Load {
+	var loads []Load
+	for i := range b.shards {
+		s := &b.shards[i]
+		s.mu.Lock()
+		for id, u := range s.upstreams {
+			if u.load > 0 {
+				loads = append(loads, Load{Upstream: id, Amount: u.load})
+			}
+		}
+		s.mu.Unlock()
+	}
+	return loads
+}
+
+// SetOthers takes in what all other instances have under way.
+func (b *Balancer) SetOthers(loads []Load, now time.Time) {
+	amounts := make(map[coltsidentity.Upstream]float64, len(loads))
+	for _, l := range loads {
+		amounts[l.Upstream] = l.Amount
+	}
+	for i := range b.shards {
+		s := &b.shards[i]
+		s.mu.Lock()
+		for id, u := range s.upstreams {
+			u.others, u.othersUntil = amounts[id], now.Add(othersFor)
+		}
+		s.mu.Unlock()
+	}
+}
+
 // Usable returns the number of a service's upstreams that take new work.
 func (b *Balancer) Usable(service coltsidentity.Service, now time.Time) int {
 	n := 0
--- a/coltscommand/command_instance.go
+++ b/coltscommand/command_instance.go
@@ -140,8 +140,10 @@
 		return err
 	}
 	log := newLog(c, settings)
+	client := platform.NewRunnerClient()
 	control, err := coltscontrol.New(coltscontrol.Config{
-		Settings: settings, Log: log, Runners: platform.NewRunnerClient().Runners(),
+		Settings: settings, Log: log,
+		Runners: client.Runners(), Stores: client.Stores(), DecodeTable: platform.DecodeTable,
 	})
 	if err != nil {
 		return err
--- a/coltscontrol/control.go
+++ b/coltscontrol/control.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"coltsfootstall/coltsbalance"
 	"coltsfootstall/coltsdocument"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslink"
@@ -28,6 +29,7 @@
 	"coltsfootstall/coltsroute"
 	"coltsfootstall/coltssettings"
 	"coltsfootstall/coltsstate"
+	"coltsfootstall/coltsstore"
 	"coltsfootstall/coltsusage"
 	"coltsfootstall/coltswire"
 	"coltsfootstall/coltswire/coltspb"
@@ -52,6 +54,10 @@
 	InitialDocument []byte
 	// Runners speaks to model runners, for the roll-out of weights.
 	Runners Runners
+	// Stores speaks to stores of kept cache, and DecodeTable reads a route table, which
+	// names them.
+	Stores      Stores
+	DecodeTable func(source []byte) (coltsroute.Table, error)
 	// Sync makes a file's content durable; nil for (*os.File).Sync.
 	Sync func(*os.File) error
 }
@@ -75,6 +81,10 @@
 	// it, because its revisions count only here.
 	registry       *coltsregistry.Registry
 	registrySource string
+	// catalogue is what the stores hold and loads what entries have under way; both
+	// are the leader's.
+	catalogue *coltsstore.Catalogue
+	loads     *coltsbalance.Loads
 	// routes is the newest route table that this instance has applied.
 	routes atomic.Pointer[coltsroute.Text]
 	// seeds are the hosts through which the group is found; a reload changes them.
@@ -115,6 +125,9 @@
 		reported: newSignal(),
 		led:      newSignal(),
 		news:     newSignal(),
+
+		catalogue: coltsstore.NewCatalogue(),
+		loads:     coltsbalance.NewLoads(),
 		registry: coltsregistry.NewRegistry(coltsregistry.Config{SilentAfter: cfg.Settings.Control.SilentAfter}),
 	}
 	c.registrySource = string(c.id()) + " " + c.started.Format(time.RFC3339Nano)
@@ -160,6 +173,9 @@
 	if c.formsItself() {
 		c.loops.Go(func() { c.keepGroup(c.running) })
 		c.loops.Go(func() { c.keepRegistry(c.running) })
+		if c.cfg.Stores.Events != nil && c.cfg.DecodeTable != nil {
+			c.loops.Go(func() { c.keepStores(c.running) })
+		}
 		if c.cfg.Runners.Ask != nil && c.cfg.Runners.Order != nil {
 			c.loops.Go(func() { c.rollOutWeights(c.running) })
 		}
--- a/coltscontrol/registry_loop.go
+++ b/coltscontrol/registry_loop.go
@@ -8,6 +8,7 @@
 	"context"
 	"time"
 
+	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslog"
 	"coltsfootstall/coltswire"
 	"coltsfootstall/coltswire/coltspb"
@@ -127,7 +128,9 @@
 // Watch answers as soon as something is newer than what the asker has.
 func (s *controlServer) Watch(ctx context.Context, r *coltspb.WatchRequest) (*coltspb.WatchReply, error) {
 	if r.GetMember() != nil {
-		s.c.roster.Heartbeat(coltswire.DecodeMember(r.GetMember()), s.c.cfg.Now())
+		member := coltswire.DecodeMember(r.GetMember())
+		s.c.roster.Heartbeat(member, s.c.cfg.Now())
+		s.c.loads.Report(member.ID, coltswire.DecodeLoads(r.GetLoads()), s.c.cfg.Now())
 	}
 	timer := time.NewTimer(time.Duration(r.GetWaitNanos()))
 	defer timer.Stop()
@@ -176,5 +179,22 @@
 	}
 	reply.Controls = s.c.controlAddrs()
 	reply.EntryInstances = int32(s.c.liveEntries())
-	return reply, isNews
+	return reply, s.watchedStores(r, reply, known) || isNews
+}
+
+// watchedStores adds what only the leader knows, and says whether any of it is news that
+// should not wait. Loads change all the time and come with whatever is told.
+func (s *controlServer) watchedStores(r *coltspb.WatchRequest, reply *coltspb.WatchReply, known bool) bool {
+	if !s.c.driver.view.Load().leads {
+		return false
+	}
+	reply.Leads = true
+	reply.Loads = coltswire.EncodeLoads(s.c.loads.Others(coltsidentity.Instance(r.GetMember().GetId()), s.c.cfg.Now()))
+	var after uint64
+	if known {
+		after = r.GetStoreRevision()
+	}
+	changes, upTo, whole := s.c.catalogue.Since(after)
+	reply.Stores, reply.StoreRevision, reply.StoresWhole = coltswire.EncodeStoreChanges(changes), upTo, whole
+	return whole && len(changes) > 0
 }
--- a/coltsforward/forward_life.go
+++ b/coltsforward/forward_life.go
@@ -140,6 +140,15 @@
 	return ""
 }
 
+// SharedParts returns the parts of the prompt that other requests may share: all but the
+// last, which is the request's own.
+func (l *Life) SharedParts() []Part {
+	if !l.Route.Sticky || len(l.Asked.Parts) < 2 {
+		return nil
+	}
+	return l.Asked.Parts[:len(l.Asked.Parts)-1]
+}
+
 // Tried returns the upstreams that were tried, which are not tried again.
 func (l *Life) Tried() []coltsidentity.Upstream { return l.tried }
 
--- a/coltsgateway/control_watch.go
+++ b/coltsgateway/control_watch.go
@@ -25,7 +25,7 @@
 	// watchWait is how long a question is kept waiting for news, watchTimeout how
 	// long its answer may take: a change must be in force within two seconds even if
 	// the connection over which it would come has gone silent.
-	watchWait    = 500 * time.Millisecond
+	watchWait    = 100 * time.Millisecond
 	watchTimeout = 900 * time.Millisecond
 	// watchPause is the pause after every known control instance has failed.
 	watchPause = 100 * time.Millisecond
@@ -50,6 +50,7 @@
 	sourceSince time.Time
 	weights     uint64
 	revision    uint64
+	stores      uint64
 	heard       map[coltsidentity.Upstream]bool
 	inTouch     bool
 	// failedAt is when an instance last failed to answer.
@@ -127,6 +128,8 @@
 		Source:           w.source,
 		WeightsRevision:  w.weights,
 		RegistryRevision: w.revision,
+		StoreRevision:    w.stores,
+		Loads:            coltswire.EncodeLoads(w.g.balancer.Loads()),
 		WaitNanos:        int64(watchWait),
 	})
 }
@@ -167,6 +170,25 @@
 		w.g.instances.Store(int64(n))
 	}
 	w.takeControls(addr, reply.GetControls())
+	if reply.GetLeads() {
+		w.takeStores(reply, now)
+		w.g.balancer.SetOthers(coltswire.DecodeLoads(reply.GetLoads()), now)
+	}
+}
+
+// takeStores takes in what may be fetched from stores.
+func (w *controlWatcher) takeStores(reply *coltspb.WatchReply, now time.Time) {
+	if reply.GetStoresWhole() {
+		w.g.stores.Clear()
+	}
+	for _, change := range coltswire.DecodeStoreChanges(reply.GetStores()) {
+		w.g.stores.Apply(change)
+	}
+	w.stores = reply.GetStoreRevision()
+	w.g.stores.Confirm(now)
+	if reply.GetStoresWhole() && len(reply.GetStores()) > 0 {
+		w.g.log.Info("The stores are known.", coltslog.Fields{"parts": w.g.stores.Len(), "source": w.source})
+	}
 }
 
 func (w *controlWatcher) takeRoutes(reply *coltspb.WatchReply) {
--- a/coltsgateway/forward_report.go
+++ b/coltsgateway/forward_report.go
@@ -30,12 +30,16 @@
 	fields := f.logFields(f.life.Asked.ID)
 	fields["upstreams"], fields["status"], fields["whole"] = f.from, f.status, f.endedWell
 	fields["weights"] = f.choice.Weights(f.life.Asked.Model)
-	fields["home"], fields["running"] = f.choice.Home, f.choice.Running
+	fields["home"], fields["running"], fields["fetched"] = f.choice.Home, f.choice.Running, f.plan.Fetched()
 	if !f.firstAt.IsZero() {
 		fields["first-ms"] = f.firstAt.Sub(f.life.Arrived).Milliseconds()
-		f.g.latency.record(string(f.life.Route.Name)+" first", f.firstAt.Sub(f.life.Arrived))
+		f.g.latency.record(f.life.Route.Name+" first", f.firstAt.Sub(f.life.Arrived))
 	}
-	f.g.latency.record(string(f.life.Route.Name)+" whole", now.Sub(f.life.Arrived))
+	if f.pause > 0 {
+		fields["longest-pause-ms"] = f.pause.Milliseconds()
+		f.g.latency.record(f.life.Route.Name+" pause", f.pause)
+	}
+	f.g.latency.record(f.life.Route.Name+" whole", now.Sub(f.life.Arrived))
 	if ctx.Err() != nil {
 		f.g.metrics.Add(coltsmetric.CallerLeft, 1)
 		fields["caller-left"] = true
--- a/coltsgateway/forward_request.go
+++ b/coltsgateway/forward_request.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,6 +20,7 @@
 	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsmetric"
 	"coltsfootstall/coltsroute"
+	"coltsfootstall/coltsstore"
 	"coltsfootstall/coltsweights"
 )
 
@@ -30,6 +32,7 @@
 	life   *coltsforward.Life
 	table  *coltsroute.Index
 	choice coltsbalance.Choice
+	plan   coltsstore.Plan
 	// closes says that the connection ends with this request.
 	closes bool
 	// lastEvent is the newest event that the caller has, where a stream goes on.
@@ -42,6 +45,10 @@
 	status    int
 	firstAt   time.Time
 	endedWell bool
+	// passedAt is when events were last passed on, pause the longest time between
+	// two such times.
+	passedAt time.Time
+	pause    time.Duration
 	from      []coltsidentity.Upstream
 }
 
@@ -133,21 +140,25 @@
 	return failure
 }
 
-// tokensPerRequest is the prompt of a request of ordinary size, by which work is
-// measured: about the mean over the kinds of prompt that runners get.
-const tokensPerRequest = 2000
+// homeBonus is how much fuller than the emptiest runner the home of a prompt may be: less
+// than what reading the prompt's shared parts again would take of a runner's memory.
+const homeBonus = 0.1
 
+// demand is what the request asks of an upstream. Work is measured in tokens of memory
+// at model runners and in requests elsewhere.
 func (f *forwarding) demand() coltsbalance.Demand {
-	weight := 1.0
-	if f.life.Asked.PromptTokens > 0 {
-		weight += float64(f.life.Asked.PromptTokens) / tokensPerRequest
-	}
 	d := coltsbalance.Demand{
-		Service: f.life.Service, Weight: weight, Exclude: f.life.Tried(),
+		Service: f.life.Service, Weight: 1, Capacity: 1, Exclude: f.life.Tried(),
 		Model: f.life.Asked.Model, Least: f.leastWeights(),
 	}
+	service, known := f.table.Service(f.life.Service)
+	if !known || service.Engine == nil {
+		return d
+	}
+	d.Capacity = float64(service.Engine.CacheTokens)
+	d.Weight = float64(f.life.Asked.PromptTokens + f.life.Asked.OutputTokens)
 	if f.life.Route.Sticky {
-		d.Affinity = []byte(f.life.Affinity())
+		d.Affinity, d.HomeBonus = []byte(f.life.Affinity()), homeBonus
 	}
 	return d
 }
@@ -186,7 +197,7 @@
 func (f *forwarding) outgoing() outgoing {
 	now := f.g.now()
 	deadline := f.life.Deadline()
-	head := f.g.dialect.AppendRequest(nil, &f.req.Header, Sending{
+	sending := Sending{
 		Upstream:     f.choice.Upstream.ID,
 		Organisation: f.life.Organisation.Name,
 		Remaining:    deadline.Sub(now),
@@ -194,7 +205,9 @@
 		Weights:      f.choice.Weights(f.life.Asked.Model),
 		CacheScope:   f.cacheScope(),
 		LastEvent:    f.lastEvent,
-	})
+	}
+	f.planMoves(&sending)
+	head := f.g.dialect.AppendRequest(nil, &f.req.Header, sending)
 	body := f.req.Body()
 	head = bodyLines(head, len(body), len(body) > 0 || f.req.Header.ContentLength() >= 0 || !isBodiless(&f.req.Header))
 	return outgoing{id: f.life.Asked.ID, head: head, body: body, deadline: deadline, noBody: f.req.Header.IsHead()}
@@ -206,6 +219,39 @@
 	return h.IsGet() || h.IsHead() || h.IsDelete() || h.IsOptions() || h.IsTrace()
 }
 
+// planMoves decides which parts of the prompt are fetched from stores and which are saved
+// there.
+func (f *forwarding) planMoves(s *Sending) {
+	parts := f.life.SharedParts()
+	if len(parts) == 0 {
+		return
+	}
+	wanted := make([]coltsstore.Wanted, len(parts))
+	for i, part := range parts {
+		wanted[i] = coltsstore.Wanted{Key: coltsstore.Key{Scope: s.CacheScope, Part: part.ID}, Tokens: part.Tokens}
+	}
+	f.plan = f.g.stores.Plan(wanted, f.table.Stores(), f.g.now())
+	s.Fetch = f.storeAddrs(f.plan.Fetch)
+	s.Save = f.storeAddrs(f.plan.Save)
+}
+
+// storeAddrs returns the addresses of transfers, one for each part of the prompt; nil if
+// there is no transfer.
+func (f *forwarding) storeAddrs(moves []coltsstore.Move) []netip.AddrPort {
+	var addrs []netip.AddrPort
+	for i, move := range moves {
+		service, known := f.table.Service(move.Store)
+		if !known || service.Store == nil {
+			continue
+		}
+		if addrs == nil {
+			addrs = make([]netip.AddrPort, len(f.life.Asked.Parts))
+		}
+		addrs[i] = service.Store.Addr
+	}
+	return addrs
+}
+
 // cacheScope keeps kept cache apart by weight version and isolated organisation.
 func (f *forwarding) cacheScope() string {
 	return coltsforward.CacheScope(f.choice.Weights(f.life.Asked.Model), f.life.Organisation)
--- a/coltsgateway/forward_stream.go
+++ b/coltsgateway/forward_stream.go
@@ -118,9 +118,19 @@
 	return appendConnection(dst, f.closes)
 }
 
+// notePause measures the time since events were last passed on.
+func (f *forwarding) notePause() {
+	now := f.g.now()
+	if !f.passedAt.IsZero() {
+		f.pause = max(f.pause, now.Sub(f.passedAt))
+	}
+	f.passedAt = now
+}
+
 // noteEvents remembers the newest event that is on its way to the caller.
 func (f *forwarding) noteEvents(events []byte) {
 	f.life.Begun()
+	f.notePause()
 	if !f.life.Route.Resumable {
 		return
 	}
--- a/coltsgateway/gateway.go
+++ b/coltsgateway/gateway.go
@@ -21,6 +21,7 @@
 	"coltsfootstall/coltspool"
 	"coltsfootstall/coltsroute"
 	"coltsfootstall/coltssettings"
+	"coltsfootstall/coltsstore"
 	"coltsfootstall/coltswatch"
 	"coltsfootstall/coltsweights"
 )
@@ -56,6 +57,7 @@
 	routes   *coltsroute.Register
 	weights  *coltsweights.Register
 	balancer *coltsbalance.Balancer
+	stores   *coltsstore.Directory
 	budget   *coltsattempt.Window
 	pool     *coltspool.Pool
 	watcher  *controlWatcher
@@ -93,7 +95,8 @@
 		started:  cfg.Now(),
 		routes:   coltsroute.NewRegister(),
 		weights:  coltsweights.NewRegister(),
-		balancer: coltsbalance.New(),
+		balancer: coltsbalance.New(coltsbalance.Config{}),
+		stores:   coltsstore.NewDirectory(),
 		budget: coltsattempt.NewWindow(coltsattempt.WindowConfig{
 			Ratio:  cfg.Settings.Gateway.RetryRatio,
 			Slack:  cfg.Settings.Gateway.RetrySlack,
--- a/coltsgateway/gateway_dialect.go
+++ b/coltsgateway/gateway_dialect.go
@@ -10,6 +10,7 @@
 // values, or appends text; none of them decides anything.
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -60,6 +61,11 @@
 	CacheScope string
 	// LastEvent is the event after which a stream goes on, empty to begin.
 	LastEvent string
+	// Fetch and Save name for each part of the prompt the store from which it is
+	// fetched and the one in which it is saved; the zero address for none. Both are
+	// nil if there is nothing to move.
+	Fetch []netip.AddrPort
+	Save  []netip.AddrPort
 }
 
 // Answer is what the head of an upstream's answer says.
--- /dev/null
+++ b/coltsstore/store_directory.go
@@ -0,0 +1,249 @@
+package coltsstore
+
+// The directory is an entry instance's copy of the catalogue, and its plans. A copy that
+// was not confirmed lately may name parts that are about to be freed, so nothing is
+// fetched by it.
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"coltsfootstall/coltsidentity"
+	"coltsfootstall/coltsroute"
+	"coltsfootstall/coltsshard"
+)
+
+const (
+	// confirmTime is how long a copy may be used after it was confirmed: parts are
+	// freed no sooner than RetireTime after they were retired.
+	confirmTime = 3 * time.Second
+	// savePause is how long a part is not saved again by the same instance, until its
+	// store has reported it.
+	savePause = 2 * time.Second
+	// smallTokens is the size up to which a part belongs into a fast store: a
+	// transfer of it takes less than the wait before a transfer of a slow one.
+	smallTokens = 2000
+	// fastLatency is the wait before a transfer up to which a store counts as fast.
+	fastLatency = 2 * time.Millisecond
+	// leastTokens is the size from which a part is worth a transfer.
+	leastTokens = 64
+)
+
+// Directory says where parts can be fetched. It may be used concurrently.
+type Directory struct {
+	shards [coltsshard.Count]directoryShard
+	// confirmedUntil is until when the copy counts.
+	confirmedUntil atomic.Pointer[time.Time]
+	used           usedTokens
+}
+
+type directoryShard struct {
+	mu    sync.Mutex
+	parts map[Key][]place
+	// saving is until when a part counts as being saved.
+	saving map[Key]time.Time
+}
+
+// place is where a part is.
+type place struct {
+	store  coltsidentity.Service
+	tokens int
+}
+
+// usedTokens counts the tokens of each store.
+type usedTokens struct {
+	mu   sync.Mutex
+	used map[coltsidentity.Service]int
+}
+
+// NewDirectory returns a directory that knows no part.
+func NewDirectory() *Directory {
+	d := &Directory{used: usedTokens{used: map[coltsidentity.Service]int{}}}
+	d.Clear()
+	return d
+}
+
+func (d *Directory) shard(key Key) *directoryShard {
+	return &d.shards[coltsshard.Of(key.Part)]
+}
+
+// Clear forgets everything, before a whole catalogue is taken in.
+func (d *Directory) Clear() {
+	for i := range d.shards {
+		s := &d.shards[i]
+		s.mu.Lock()
+		s.parts, s.saving = map[Key][]place{}, map[Key]time.Time{}
+		s.mu.Unlock()
+	}
+	d.used.mu.Lock()
+	defer d.used.mu.Unlock()
+	clear(d.used.used)
+}
+
+// Apply takes in a change of the catalogue.
+func (d *Directory) Apply(c Change) {
+	s := d.shard(c.Key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.removeLocked(c.Key, c.Store)
+	if c.Tokens > 0 {
+		s.parts[c.Key] = append(s.parts[c.Key], place{store: c.Store, tokens: c.Tokens})
+		delete(s.saving, c.Key)
+	}
+	d.used.add(c.Store, c.Tokens-before)
+}
+
+func (u *usedTokens) add(store coltsidentity.Service, tokens int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.used[store] += tokens
+}
+
+func (u *usedTokens) of(store coltsidentity.Service) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.used[store]
+}
+
+// removeLocked removes a part's place in a store and returns its tokens.
+func (s *directoryShard) removeLocked(key Key, store coltsidentity.Service) int {
+	places := s.parts[key]
+	for i, p := range places {
+		if p.store != store {
+			continue
+		}
+		if len(places) == 1 {
+			delete(s.parts, key)
+		} else {
+			s.parts[key] = append(places[:i:i], places[i+1:]...)
+		}
+		return p.tokens
+	}
+	return 0
+}
+
+// Confirm takes in that the copy was complete at a time.
+func (d *Directory) Confirm(now time.Time) {
+	until := now.Add(confirmTime)
+	d.confirmedUntil.Store(&until)
+}
+
+// confirmed says whether the copy counts.
+func (d *Directory) confirmed(now time.Time) bool {
+	until := d.confirmedUntil.Load()
+	return until != nil && now.Before(*until)
+}
+
+// Len returns the number of parts that can be fetched.
+func (d *Directory) Len() int {
+	n := 0
+	for i := range d.shards {
+		s := &d.shards[i]
+		s.mu.Lock()
+		n += len(s.parts)
+		s.mu.Unlock()
+	}
+	return n
+}
+
+// Wanted is a shared part of a prompt.
+type Wanted struct {
+	Key    Key
+	Tokens int
+}
+
+// Move is a transfer of one part; no store for none.
+type Move struct {
+	Store  coltsidentity.Service
+	Tokens int
+}
+
+// Plan says for each part of a prompt what is fetched and what is saved.
+type Plan struct {
+	Fetch []Move
+	Save  []Move
+}
+
+// Fetched returns the tokens that a plan fetches.
+func (p Plan) Fetched() int {
+	n := 0
+	for _, m := range p.Fetch {
+		n += m.Tokens
+	}
+	return n
+}
+
+// Plan returns the plan for a prompt's shared parts in order. A part counts at a runner
+// only if all before it are there, so the plan ends at the first part that is in no
+// store: that one is saved, and those behind it.
+func (d *Directory) Plan(parts []Wanted, stores []coltsroute.Service, now time.Time) Plan {
+	plan := Plan{Fetch: make([]Move, len(parts)), Save: make([]Move, len(parts))}
+	if !d.confirmed(now) || len(stores) == 0 {
+		return plan
+	}
+	for i, part := range parts {
+		if part.Tokens < leastTokens {
+			continue
+		}
+		store, tokens, held := d.find(part.Key)
+		if held {
+			plan.Fetch[i] = Move{Store: store, Tokens: tokens}
+			continue
+		}
+		if to, room := d.home(part, stores); room && d.beginSave(part.Key, now) {
+			plan.Save[i] = Move{Store: to, Tokens: part.Tokens}
+		}
+	}
+	return plan
+}
+
+func (d *Directory) find(key Key) (coltsidentity.Service, int, bool) {
+	s := d.shard(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	places := s.parts[key]
+	if len(places) == 0 {
+		return "", 0, false
+	}
+	return places[0].store, places[0].tokens, true
+}
+
+// beginSave says whether this instance should have a part saved, and counts it as being
+// saved.
+func (d *Directory) beginSave(key Key, now time.Time) bool {
+	s := d.shard(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Before(s.saving[key]) {
+		return false
+	}
+	s.saving[key] = now.Add(savePause)
+	return true
+}
+
+// home returns the store that a part belongs into: by its name alone among those of the
+// kind that fits its size, then among all, as long as there is room.
+func (d *Directory) home(part Wanted, stores []coltsroute.Service) (coltsidentity.Service, bool) {
+	small := part.Tokens <= smallTokens
+	for _, kind := range []bool{small, !small} {
+		best, rank, found := coltsidentity.Service(""), uint64(0), false
+		for _, s := range stores {
+			if (s.Store.Latency <= fastLatency) != kind || !d.hasRoom(s, part.Tokens) {
+				continue
+			}
+			if r := coltsshard.Rank([]byte(part.Key.Part), s.Name); !found || r > rank {
+				best, rank, found = s.Name, r, true
+			}
+		}
+		if found {
+			return best, true
+		}
+	}
+	return "", false
+}
+
+// hasRoom says whether a part fits into a store, with what others save meanwhile.
+func (d *Directory) hasRoom(s coltsroute.Service, tokens int) bool {
+	return float64(d.used.of(s.Name)+tokens) < fullShare*float64(s.Store.CacheTokens)
+}
--- /dev/null
+++ b/coltsstore/store_test.go
@@ -0,0 +1,132 @@
+package coltsstore
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootstall/coltsidentity"
+	"coltsfootstall/coltsroute"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+func key(part string) Key { return Key{Scope: "v1", Part: part} }
+
+func all(string) bool { return true }
+
+func stores() []coltsroute.Service {
+	return []coltsroute.Service{
+		{Name: "fast", Store: &coltsroute.Store{CacheTokens: 4000, Latency: time.Millisecond}},
+		{Name: "slow", Store: &coltsroute.Store{CacheTokens: 100_000, Latency: 6 * time.Millisecond}},
+	}
+}
+
+// assertHeld asserts what a follower that has seen nothing is told.
+func assertHeld(t *testing.T, c *Catalogue, parts ...string) {
+	t.Helper()
+	changes, _, whole := c.Since(0)
+	assert.Assert(t, whole)
+	held := map[string]bool{}
+	for _, change := range changes {
+		held[change.Key.Part] = true
+	}
+	assert.Equal(t, len(held), len(parts), "%v", held)
+	for _, p := range parts {
+		assert.Assert(t, held[p], "%s is missing", p)
+	}
+}
+
+// assertMove asserts a transfer of one part.
+func assertMove(t *testing.T, got Move, store string, tokens int) {
+	t.Helper()
+	assert.Equal(t, got, Move{Store: coltsidentity.Service(store), Tokens: tokens})
+}
+
+func directory(changes ...Change) *Directory {
+	d := NewDirectory()
+	d.Confirm(now)
+	for _, c := range changes {
+		d.Apply(c)
+	}
+	return d
+}
+
+func TestCatalogue(t *testing.T) {
+	t.Run("followers hear what changed", func(t *testing.T) {
+		c := NewCatalogue()
+		c.Add("s", key("a"), 10, now)
+		_, upTo, _ := c.Since(0)
+		c.Add("s", key("b"), 10, now)
+		c.Remove("s", key("a"))
+		changes, _, whole := c.Since(upTo)
+		assert.Assert(t, !whole)
+		assert.DeepEqual(t, changes, []Change{{Store: "s", Key: key("b"), Tokens: 10}, {Store: "s", Key: key("a")}})
+		assertHeld(t, c, "b")
+	})
+	t.Run("a store that starts anew holds nothing", func(t *testing.T) {
+		c := NewCatalogue()
+		c.Add("s", key("a"), 10, now)
+		c.Reset("s")
+		assertHeld(t, c)
+		assert.Equal(t, c.Used("s"), 0)
+	})
+	t.Run("a full store retires what was saved first", func(t *testing.T) {
+		c := NewCatalogue()
+		c.Open("s", 100)
+		for i := range 10 {
+			c.Add("s", key(fmt.Sprint(i)), 10, now.Add(time.Duration(i)))
+		}
+		assert.Equal(t, c.Retire("s", all, now), 2)
+		assertHeld(t, c, "2", "3", "4", "5", "6", "7", "8", "9")
+		assert.Equal(t, c.Used("s"), 100, "what is retired keeps its room")
+	})
+	t.Run("what is retired is freed only after its time", func(t *testing.T) {
+		c := NewCatalogue()
+		c.Add("s", Key{Scope: "v0", Part: "old"}, 10, now)
+		assert.Equal(t, c.Retire("s", func(scope string) bool { return scope == "v1" }, now), 1)
+		assert.Equal(t, len(c.Due("s", now.Add(RetireTime-1))), 0)
+		assert.Equal(t, len(c.Due("s", now.Add(RetireTime))), 1)
+	})
+	t.Run("what is retired is not offered again when it is reported again", func(t *testing.T) {
+		c := NewCatalogue()
+		c.Add("s", key("a"), 10, now)
+		c.Retire("s", func(string) bool { return false }, now)
+		c.Add("s", key("a"), 12, now)
+		assertHeld(t, c)
+	})
+}
+
+func TestPlan(t *testing.T) {
+	t.Run("what a store holds is fetched from it", func(t *testing.T) {
+		d := directory(Change{Store: "slow", Key: key("a"), Tokens: 500})
+		assertMove(t, d.Plan([]Wanted{{key("a"), 500}}, stores(), now).Fetch[0], "slow", 500)
+	})
+	t.Run("a small part is saved in the fast store and a large one in the slow", func(t *testing.T) {
+		plan := directory().Plan([]Wanted{{key("a"), 500}, {key("b"), 8000}}, stores(), now)
+		assertMove(t, plan.Save[0], "fast", 500)
+		assertMove(t, plan.Save[1], "slow", 8000)
+		assert.Equal(t, plan.Fetched(), 0)
+	})
+	t.Run("a part that is being saved is not saved again", func(t *testing.T) {
+		d := directory()
+		d.Plan([]Wanted{{key("a"), 500}}, stores(), now)
+		assertMove(t, d.Plan([]Wanted{{key("a"), 500}}, stores(), now).Save[0], "", 0)
+	})
+	t.Run("a full store is passed over", func(t *testing.T) {
+		d := directory(Change{Store: "fast", Key: key("x"), Tokens: 3600})
+		assertMove(t, d.Plan([]Wanted{{key("a"), 500}}, stores(), now).Save[0], "slow", 500)
+	})
+	t.Run("a copy that was not confirmed lately is not used", func(t *testing.T) {
+		d := directory(Change{Store: "slow", Key: key("a"), Tokens: 500})
+		plan := d.Plan([]Wanted{{key("a"), 500}}, stores(), now.Add(confirmTime))
+		assertMove(t, plan.Fetch[0], "", 0)
+	})
+	t.Run("what left the catalogue is not fetched", func(t *testing.T) {
+		d := directory(Change{Store: "slow", Key: key("a"), Tokens: 500}, Change{Store: "slow", Key: key("a")})
+		assertMove(t, d.Plan([]Wanted{{key("a"), 500}}, stores(), now).Fetch[0], "", 0)
+		assert.Equal(t, d.Len(), 0)
+	})
+}
--- /dev/null
+++ b/coltswire/wire_store.go
@@ -0,0 +1,44 @@
+package coltswire
+
+// What stores hold and what upstreams are loaded with, as control tells entries.
+
+import (
+	"coltsfootstall/coltsbalance"
+	"coltsfootstall/coltsidentity"
+	"coltsfootstall/coltsstore"
+	"coltsfootstall/coltswire/coltspb"
+)
+
+// EncodeStoreChanges returns the changes' messages.
+func EncodeStoreChanges(changes []coltsstore.Change) []*coltspb.StoreChange {
+	return convert(changes, func(c coltsstore.Change) *coltspb.StoreChange {
+		return &coltspb.StoreChange{
+			Store: string(c.Store), Scope: c.Key.Scope, Part: c.Key.Part, Tokens: int64(c.Tokens),
+		}
+	})
+}
+
+// DecodeStoreChanges reads the changes' messages.
+func DecodeStoreChanges(messages []*coltspb.StoreChange) []coltsstore.Change {
+	return convert(messages, func(m *coltspb.StoreChange) coltsstore.Change {
+		return coltsstore.Change{
+			Store:  coltsidentity.Service(m.GetStore()),
+			Key:    coltsstore.Key{Scope: m.GetScope(), Part: m.GetPart()},
+			Tokens: int(m.GetTokens()),
+		}
+	})
+}
+
+// EncodeLoads returns the loads' messages.
+func EncodeLoads(loads []coltsbalance.Load) []*coltspb.UpstreamLoad {
+	return convert(loads, func(l coltsbalance.Load) *coltspb.UpstreamLoad {
+		return &coltspb.UpstreamLoad{Upstream: string(l.Upstream), Load: l.Amount}
+	})
+}
+
+// DecodeLoads reads the loads' messages.
+func DecodeLoads(messages []*coltspb.UpstreamLoad) []coltsbalance.Load {
+	return convert(messages, func(m *coltspb.UpstreamLoad) coltsbalance.Load {
+		return coltsbalance.Load{Upstream: coltsidentity.Upstream(m.GetUpstream()), Amount: m.GetLoad()}
+	})
+}
