Let long prompts wait at the entry for room at a runner.

Cause: at the crest of the wave runners were given up to 1.7 times their memory; what they had fetched was pushed out before it was used (12.2 M tokens planned to be fetched, 8.5 M found), and short prompts waited behind long ones. Change: long prompts go to a runner only up to 0.9 of its memory and wait in order otherwise; runners in the data centre of a part's store are preferred; small parts go only into fast stores, the first part of a prompt wherever there is room.

--- a/coltsbalance/balance_upstream.go
+++ b/coltsbalance/balance_upstream.go
@@ -39,6 +39,13 @@
 	// both in the unit of the service: tokens of memory, or requests.
 	Weight   float64
 	Capacity float64
+	// Limit is the share of the capacity up to which an upstream may be loaded by the
+	// request; 0 for no limit.
+	Limit float64
+	// Near is the data centre from which the request's parts are fetched, empty for
+	// none; NearBonus is what it is worth to reach an upstream there.
+	Near      coltsidentity.DataCentre
+	NearBonus float64
 	// HomeBonus is what it is worth to reach the home, as a share of the capacity.
 	HomeBonus float64
 	// Model is the model that the request needs, and Least the lowest version of it
@@ -55,6 +62,9 @@
 	Weight   float64
 	// Running is the number of this instance's requests there, this one included.
 	Running int
+	// Load is what is known to be under way there, this request included, as a share
+	// of the demand's capacity.
+	Load float64
 	// Home says that it is the upstream that the demand's affinity leads to.
 	Home bool
 }
@@ -97,6 +107,19 @@
 	return fmt.Sprintf("service %q has no usable upstream of %d known", e.Service, e.Known)
 }
 
+// FullError reports that no upstream that was looked at has room for a request.
+type FullError struct {
+	Service coltsidentity.Service
+	// Load is that of the least loaded one, the request included, as a share of its
+	// capacity.
+	Load float64
+}
+
+// Error gives the load.
+func (e *FullError) Error() string {
+	return fmt.Sprintf("service %q has no room: the least loaded upstream would be at %.2f of its capacity", e.Service, e.Load)
+}
+
 // upstream is what this instance knows of one.
 type upstream struct {
 	record  coltsregistry.Upstream
--- a/coltsbalance/balancer.go
+++ b/coltsbalance/balancer.go
@@ -89,15 +89,20 @@
 	id    coltsidentity.Upstream
 	load  float64
 	rests bool
-	rank  uint64
+	// near says that it is where the request's parts are.
+	near bool
+	rank uint64
 }
 
 // Choose returns the upstream for a demand and counts it as loaded there. It returns
-// a NoUpstreamError if the service has none.
+// a NoUpstreamError if the service has none, and a FullError if none has room.
 func (b *Balancer) Choose(d Demand, now time.Time) (Choice, error) {
 	candidates, known := b.candidates(d, now)
 	for len(candidates) > 0 {
 		i, home := b.pick(d, candidates)
+		if full := fullness(d, candidates, i); d.Limit > 0 && full > d.Limit {
+			return Choice{}, &FullError{Service: d.Service, Load: full}
+		}
 		choice, ok := b.take(candidates[i].id, d, now)
 		if ok {
 			choice.Home = home
@@ -124,7 +129,8 @@
 			if !u.usable(now) || slices.Contains(d.Exclude, id) || u.has(d.Model) < d.Least {
 				continue
 			}
-			c := candidate{id: id, load: u.total(now), rests: u.rests(now), rank: coltsshard.Rank(d.Affinity, id)}
+			c := candidate{id: id, load: u.total(now), rests: u.rests(now), rank: coltsshard.Rank(d.Affinity, id),
+				near: d.Near != "" && u.record.DataCentre == d.Near}
 			if !c.rests {
 				awake++
 			}
@@ -161,6 +167,15 @@
 	return best, best == home
 }
 
+// fullness is the load of a candidate with the demand, as a share of its capacity. One
+// that is empty counts as having room whatever the demand's size.
+func fullness(d Demand, candidates []candidate, i int) float64 {
+	if candidates[i].load <= 0 {
+		return 0
+	}
+	return (candidates[i].load + d.Weight) / max(1, d.Capacity)
+}
+
 // drawn is how many of a number of candidates are compared.
 func drawn(candidates int) int {
 	return 1 + int(math.Sqrt(float64(candidates)))
@@ -172,6 +187,9 @@
 	if home {
 		cost -= d.HomeBonus
 	}
+	if c.near {
+		cost -= d.NearBonus
+	}
 	return cost
 }
 
@@ -186,7 +204,9 @@
 	}
 	u.running++
 	u.load += d.Weight
-	return Choice{Upstream: u.record, Weight: d.Weight, Running: u.running}, true
+	return Choice{
+		Upstream: u.record, Weight: d.Weight, Running: u.running, Load: u.total(now) / max(1, d.Capacity),
+	}, true
 }
 
 // Done takes a choice's load off and notes how the request ended.
--- a/coltscontrol/control.go
+++ b/coltscontrol/control.go
@@ -23,6 +23,7 @@
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslink"
 	"coltsfootstall/coltslog"
+	"coltsfootstall/coltsloop"
 	"coltsfootstall/coltsmembership"
 	"coltsfootstall/coltsmetric"
 	"coltsfootstall/coltsregistry"
@@ -90,13 +91,13 @@
 	// seeds are the hosts through which the group is found; a reload changes them.
 	seeds atomic.Pointer[[]netip.AddrPort]
 	// news is fired when routes, weights, registry or group have changed.
-	news *signal
+	news *coltsloop.Signal
 
 	// revised is fired when a document comes into force, reported when an
 	// instance reports itself, led when the leader changes.
-	revised  *signal
-	reported *signal
-	led      *signal
+	revised  *coltsloop.Signal
+	reported *coltsloop.Signal
+	led      *coltsloop.Signal
 
 	listener  net.Listener
 	server    *http.Server
@@ -121,14 +122,14 @@
 		started:  cfg.Now(),
 		machine:  coltsstate.NewMachine(),
 		roster:   coltsmembership.NewRoster(),
-		revised:  newSignal(),
-		reported: newSignal(),
-		led:      newSignal(),
-		news:     newSignal(),
+		revised:  coltsloop.NewSignal(),
+		reported: coltsloop.NewSignal(),
+		led:      coltsloop.NewSignal(),
+		news:     coltsloop.NewSignal(),
 
 		catalogue: coltsstore.NewCatalogue(),
 		loads:     coltsbalance.NewLoads(),
-		registry: coltsregistry.NewRegistry(coltsregistry.Config{SilentAfter: cfg.Settings.Control.SilentAfter}),
+		registry:  coltsregistry.NewRegistry(coltsregistry.Config{SilentAfter: cfg.Settings.Control.SilentAfter}),
 	}
 	c.registrySource = string(c.id()) + " " + c.started.Format(time.RFC3339Nano)
 	c.routes.Store(&coltsroute.Text{})
@@ -232,7 +233,7 @@
 	ticker := time.NewTicker(beatPeriod)
 	defer ticker.Stop()
 	for {
-		revised := c.revised.wait()
+		revised := c.revised.Wait()
 		c.reportSelf(ctx)
 		select {
 		case <-ctx.Done():
@@ -255,7 +256,7 @@
 		Ready:        c.inTouch(),
 	}
 	c.roster.Heartbeat(self, c.cfg.Now())
-	c.reported.fire()
+	c.reported.Fire()
 	leader, err := c.leaderOf(false)
 	if err != nil || leader == nil {
 		return
@@ -273,9 +274,9 @@
 	defer cancel()
 	// Questions that wait for a newer document would hold the server open.
 	c.stop()
-	c.revised.fire()
-	c.reported.fire()
-	c.led.fire()
+	c.revised.Fire()
+	c.reported.Fire()
+	c.led.Fire()
 	err := c.server.Shutdown(ctx)
 	if err != nil {
 		err = c.server.Close()
--- a/coltscontrol/control_bootstrap.go
+++ b/coltscontrol/control_bootstrap.go
@@ -58,7 +58,7 @@
 		return
 	}
 	for ctx.Err() == nil {
-		led, revised := c.led.wait(), c.revised.wait()
+		led, revised := c.led.Wait(), c.revised.Wait()
 		if len(c.machine.Register.Current().Sections.Operators) > 0 {
 			return
 		}
--- a/coltscontrol/registry_loop.go
+++ b/coltscontrol/registry_loop.go
@@ -54,7 +54,7 @@
 		c.log.Warn("An upstream fell silent.", coltslog.Fields{"upstream": u.ID, "address": u.Addr, "sequence": u.Sequence})
 	}
 	if len(silent) > 0 {
-		c.news.fire()
+		c.news.Fire()
 	}
 }
 
@@ -89,7 +89,7 @@
 		news = m.c.registry.Mirror(e, m.c.cfg.Now()) || news
 	}
 	if news {
-		m.c.news.fire()
+		m.c.news.Fire()
 	}
 	return true
 }
@@ -120,7 +120,7 @@
 			"upstream": u.ID, "service": u.Service, "address": u.Addr, "state": u.State,
 			"leaving": r.GetLeaving(), "sequence": u.Sequence, "weights": u.Weights,
 		})
-		s.c.news.fire()
+		s.c.news.Fire()
 	}
 	return &coltspb.ReportReply{Leader: string(s.c.replicaID)}, nil
 }
@@ -135,7 +135,7 @@
 	timer := time.NewTimer(time.Duration(r.GetWaitNanos()))
 	defer timer.Stop()
 	for {
-		news := s.c.news.wait()
+		news := s.c.news.Wait()
 		if !s.c.inTouch() || r.GetRegistryOnly() && !s.c.driver.view.Load().leads {
 			return nil, unavailable(errOutOfTouch)
 		}
--- a/coltsgateway/control_watch.go
+++ b/coltsgateway/control_watch.go
@@ -173,6 +173,7 @@
 	if reply.GetLeads() {
 		w.takeStores(reply, now)
 		w.g.balancer.SetOthers(coltswire.DecodeLoads(reply.GetLoads()), now)
+		w.g.room.Fire()
 	}
 }
 
--- a/coltsgateway/forward_report.go
+++ b/coltsgateway/forward_report.go
@@ -5,11 +5,15 @@
 
 import (
 	"context"
+	"math"
 
 	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltsmetric"
 )
 
+// loadDigits rounds loads to hundredths.
+const loadDigits = 100
+
 func (f *forwarding) logAttempt(failure *attemptError, verdict coltsattempt.Verdict) {
 	fields := f.logFields(f.life.Asked.ID)
 	fields["upstream"], fields["running"] = f.choice.Upstream.ID, f.choice.Running
@@ -31,10 +35,15 @@
 	fields["upstreams"], fields["status"], fields["whole"] = f.from, f.status, f.endedWell
 	fields["weights"] = f.choice.Weights(f.life.Asked.Model)
 	fields["home"], fields["running"], fields["fetched"] = f.choice.Home, f.choice.Running, f.plan.Fetched()
+	fields["load"] = math.Round(loadDigits*f.choice.Load) / loadDigits
+	fields["saved"], fields["part"] = f.plan.Saved(), f.life.Affinity()
 	if !f.firstAt.IsZero() {
 		fields["first-ms"] = f.firstAt.Sub(f.life.Arrived).Milliseconds()
 		f.g.latency.record(f.life.Route.Name+" first", f.firstAt.Sub(f.life.Arrived))
 	}
+	if f.waited > 0 {
+		fields["waited-ms"] = f.waited.Milliseconds()
+	}
 	if f.pause > 0 {
 		fields["longest-pause-ms"] = f.pause.Milliseconds()
 		f.g.latency.record(f.life.Route.Name+" pause", f.pause)
--- a/coltsgateway/forward_request.go
+++ b/coltsgateway/forward_request.go
@@ -49,7 +49,9 @@
 	// two such times.
 	passedAt time.Time
 	pause    time.Duration
-	from      []coltsidentity.Upstream
+	// waited is how long it waited for room.
+	waited time.Duration
+	from   []coltsidentity.Upstream
 }
 
 // serve serves the request and says whether the connection may serve another.
@@ -80,7 +82,10 @@
 // attempts makes attempts until one ends the request.
 func (f *forwarding) attempts(ctx context.Context) bool {
 	for {
-		choice, err := f.g.balancer.Choose(f.demand(), f.g.now())
+		choice, err := f.choose(ctx)
+		if ctx.Err() != nil {
+			return false
+		}
 		if err != nil {
 			return f.giveUp(f.life.NoUpstream(err, f.g.now()))
 		}
@@ -137,6 +142,7 @@
 		}
 	}
 	f.g.balancer.Done(choice, outcome, f.g.now())
+	f.g.room.Fire()
 	return failure
 }
 
@@ -144,6 +150,20 @@
 // than what reading the prompt's shared parts again would take of a runner's memory.
 const homeBonus = 0.1
 
+const (
+	// longShare is the share of a runner's memory from which a prompt counts as long.
+	longShare = 0.04
+	// fullShare is the share of a runner's memory up to which long prompts are sent to
+	// it: at more, what it keeps and fetches is pushed out before it is used, and short
+	// prompts find no room.
+	fullShare = 0.9
+)
+
+// nearBonus is how much fuller than the emptiest runner one may be that is in the data
+// centre of the store with the prompt's parts: a transfer from elsewhere takes both links
+// twice as long.
+const nearBonus = 0.1
+
 // demand is what the request asks of an upstream. Work is measured in tokens of memory
 // at model runners and in requests elsewhere.
 func (f *forwarding) demand() coltsbalance.Demand {
@@ -157,12 +177,37 @@
 	}
 	d.Capacity = float64(service.Engine.CacheTokens)
 	d.Weight = float64(f.life.Asked.PromptTokens + f.life.Asked.OutputTokens)
+	if d.Weight > longShare*d.Capacity {
+		d.Limit = fullShare
+	}
 	if f.life.Route.Sticky {
 		d.Affinity, d.HomeBonus = []byte(f.life.Affinity()), homeBonus
+		d.Near, d.NearBonus = f.near(), nearBonus
 	}
 	return d
 }
 
+// near returns the data centre of the store that the prompt's parts are in, empty if they
+// are in none.
+func (f *forwarding) near() coltsidentity.DataCentre {
+	store := f.g.stores.Near(f.wanted(""), f.table.Stores())
+	service, known := f.table.Service(store)
+	if !known || service.Store == nil {
+		return ""
+	}
+	return service.Store.DataCentre
+}
+
+// wanted returns the prompt's shared parts within a scope.
+func (f *forwarding) wanted(scope string) []coltsstore.Wanted {
+	parts := f.life.SharedParts()
+	wanted := make([]coltsstore.Wanted, len(parts))
+	for i, part := range parts {
+		wanted[i] = coltsstore.Wanted{Key: coltsstore.Key{Scope: scope, Part: part.ID}, Tokens: part.Tokens}
+	}
+	return wanted
+}
+
 // weightsMargin is how long before a named version is due requests stop going to runners
 // without it: they may wait there before they begin.
 const weightsMargin = time.Second
@@ -222,14 +267,10 @@
 // planMoves decides which parts of the prompt are fetched from stores and which are saved
 // there.
 func (f *forwarding) planMoves(s *Sending) {
-	parts := f.life.SharedParts()
-	if len(parts) == 0 {
+	wanted := f.wanted(s.CacheScope)
+	if len(wanted) == 0 {
 		return
 	}
-	wanted := make([]coltsstore.Wanted, len(parts))
-	for i, part := range parts {
-		wanted[i] = coltsstore.Wanted{Key: coltsstore.Key{Scope: s.CacheScope, Part: part.ID}, Tokens: part.Tokens}
-	}
 	f.plan = f.g.stores.Plan(wanted, f.table.Stores(), f.g.now())
 	s.Fetch = f.storeAddrs(f.plan.Fetch)
 	s.Save = f.storeAddrs(f.plan.Save)
--- a/coltsgateway/gateway.go
+++ b/coltsgateway/gateway.go
@@ -17,6 +17,7 @@
 	"coltsfootstall/coltsbalance"
 	"coltsfootstall/coltslink"
 	"coltsfootstall/coltslog"
+	"coltsfootstall/coltsloop"
 	"coltsfootstall/coltsmetric"
 	"coltsfootstall/coltspool"
 	"coltsfootstall/coltsroute"
@@ -58,9 +59,12 @@
 	weights  *coltsweights.Register
 	balancer *coltsbalance.Balancer
 	stores   *coltsstore.Directory
-	budget   *coltsattempt.Window
-	pool     *coltspool.Pool
-	watcher  *controlWatcher
+	queue    *coltsbalance.Queue
+	// room is fired when an upstream may have got room.
+	room    *coltsloop.Signal
+	budget  *coltsattempt.Window
+	pool    *coltspool.Pool
+	watcher *controlWatcher
 	// seeds are the hosts through which control is found; a reload changes them.
 	seeds atomic.Pointer[[]netip.AddrPort]
 	// instances is the number of entry instances that share the budget.
@@ -97,6 +101,8 @@
 		weights:  coltsweights.NewRegister(),
 		balancer: coltsbalance.New(coltsbalance.Config{}),
 		stores:   coltsstore.NewDirectory(),
+		queue:    coltsbalance.NewQueue(),
+		room:     coltsloop.NewSignal(),
 		budget: coltsattempt.NewWindow(coltsattempt.WindowConfig{
 			Ratio:  cfg.Settings.Gateway.RetryRatio,
 			Slack:  cfg.Settings.Gateway.RetrySlack,
--- a/coltsstore/store_directory.go
+++ b/coltsstore/store_directory.go
@@ -5,6 +5,7 @@
 // fetched by it.
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -166,17 +167,21 @@
 }
 
 // Fetched returns the tokens that a plan fetches.
-func (p Plan) Fetched() int {
+func (p Plan) Fetched() int { return tokensOf(p.Fetch) }
+
+// Saved returns the tokens that a plan saves.
+func (p Plan) Saved() int { return tokensOf(p.Save) }
+
+func tokensOf(moves []Move) int {
 	n := 0
-	for _, m := range p.Fetch {
+	for _, m := range moves {
 		n += m.Tokens
 	}
 	return n
 }
 
-// Plan returns the plan for a prompt's shared parts in order. A part counts at a runner
-// only if all before it are there, so the plan ends at the first part that is in no
-// store: that one is saved, and those behind it.
+// Plan returns the plan for a prompt's shared parts in order: what a store holds is
+// fetched from it, and what none holds is saved.
 func (d *Directory) Plan(parts []Wanted, stores []coltsroute.Service, now time.Time) Plan {
 	plan := Plan{Fetch: make([]Move, len(parts)), Save: make([]Move, len(parts))}
 	if !d.confirmed(now) || len(stores) == 0 {
@@ -186,18 +191,48 @@
 		if part.Tokens < leastTokens {
 			continue
 		}
-		store, tokens, held := d.find(part.Key)
-		if held {
+		if store, tokens, held := d.find(part.Key); held {
 			plan.Fetch[i] = Move{Store: store, Tokens: tokens}
 			continue
 		}
-		if to, room := d.home(part, stores); room && d.beginSave(part.Key, now) {
+		to, room := d.home(part, stores)
+		if !room && i == 0 {
+			to, room = d.anyRoom(part, stores)
+		}
+		if room && d.beginSave(part.Key, now) {
 			plan.Save[i] = Move{Store: to, Tokens: part.Tokens}
 		}
 	}
 	return plan
 }
 
+// anyRoom returns a store with room for a part, whatever its kind. The first part of a
+// prompt goes there if it must: without it nothing that follows counts.
+func (d *Directory) anyRoom(part Wanted, stores []coltsroute.Service) (coltsidentity.Service, bool) {
+	for _, s := range stores {
+		if d.hasRoom(s, part.Tokens) {
+			return s.Name, true
+		}
+	}
+	return "", false
+}
+
+// Near returns the store that the largest of a prompt's parts belongs into, whatever it
+// may be shared within; empty for none.
+func (d *Directory) Near(parts []Wanted, stores []coltsroute.Service) coltsidentity.Service {
+	if len(parts) == 0 {
+		return ""
+	}
+	largest := parts[0]
+	for _, part := range parts {
+		if part.Tokens > largest.Tokens {
+			largest = part
+		}
+	}
+	store, _ := d.home(largest, stores)
+	return store
+}
+
 func (d *Directory) find(key Key) (coltsidentity.Service, int, bool) {
 	s := d.shard(key)
 	s.mu.Lock()
@@ -222,25 +257,36 @@
 	return true
 }
 
-// home returns the store that a part belongs into: by its name alone among those of the
-// kind that fits its size, then among all, as long as there is room.
+// home returns the store that a part belongs into, by its name alone among those of the
+// kind that fits its size and have room. A slow store is spared the small parts: the
+// wait before each transfer would cost it more than the bytes. Where all stores are of
+// one kind, every part fits.
 func (d *Directory) home(part Wanted, stores []coltsroute.Service) (coltsidentity.Service, bool) {
-	small := part.Tokens <= smallTokens
-	for _, kind := range []bool{small, !small} {
-		best, rank, found := coltsidentity.Service(""), uint64(0), false
-		for _, s := range stores {
-			if (s.Store.Latency <= fastLatency) != kind || !d.hasRoom(s, part.Tokens) {
-				continue
-			}
-			if r := coltsshard.Rank([]byte(part.Key.Part), s.Name); !found || r > rank {
-				best, rank, found = s.Name, r, true
-			}
+	fits := fitting(part, stores)
+	best, rank, found := coltsidentity.Service(""), uint64(0), false
+	for _, s := range stores {
+		if !fits(s) || !d.hasRoom(s, part.Tokens) {
+			continue
 		}
-		if found {
-			return best, true
+		if r := coltsshard.Rank([]byte(part.Key.Part), s.Name); !found || r > rank {
+			best, rank, found = s.Name, r, true
 		}
 	}
-	return "", false
+	return best, found
+}
+
+// fitting says which stores fit a part's size.
+func fitting(part Wanted, stores []coltsroute.Service) func(coltsroute.Service) bool {
+	isFast := func(s coltsroute.Service) bool { return s.Store.Latency <= fastLatency }
+	isSlow := func(s coltsroute.Service) bool { return !isFast(s) }
+	kind := isSlow
+	if part.Tokens <= smallTokens {
+		kind = isFast
+	}
+	if !slices.ContainsFunc(stores, kind) {
+		return func(coltsroute.Service) bool { return true }
+	}
+	return kind
 }
 
 // hasRoom says whether a part fits into a store, with what others save meanwhile.
