--- a/coltsgateway/caller_conn.go
+++ b/coltsgateway/caller_conn.go
@@ -157,6 +157,9 @@
 		if b == '\n' && (i == 0 || raw[i-1] != '\r') {
 			return &badRequestError{status: fasthttp.StatusBadRequest, reason: "a line of its head has no carriage return"}
 		}
+		if b == '\n' && i+1 < len(raw) && (raw[i+1] == ' ' || raw[i+1] == '\t') {
+			return &badRequestError{status: fasthttp.StatusBadRequest, reason: "a line of its head is folded"}
+		}
 	}
 	if countHeader(h, fasthttp.HeaderContentLength)+countHeader(h, fasthttp.HeaderTransferEncoding) > 1 {
 		return &badRequestError{status: fasthttp.StatusBadRequest, reason: "it gives the length of its body twice"}
--- a/coltsstructure/structure_test.go
+++ b/coltsstructure/structure_test.go
@@ -21,9 +21,10 @@
 
 // decisionPackages are those that decide.
 var decisionPackages = []string{
-	"coltsattempt", "coltsbooking", "coltscache", "coltsdocument", "coltsfleet", "coltsidentity",
-	"coltsmembership", "coltsobjective", "coltsorder", "coltsorganisation", "coltsreplica", "coltsrequest", "coltsrouting",
-	"coltsshard", "coltsstate", "coltsusage",
+	"coltsattempt", "coltsbalance", "coltsbooking", "coltscache", "coltsdocument", "coltsfleet", "coltsforward",
+	"coltsidentity", "coltsmembership", "coltsobjective", "coltsorder", "coltsorganisation", "coltsregistry",
+	"coltsreplica", "coltsrequest", "coltsroute", "coltsrouting", "coltsshard", "coltsstate", "coltsstore",
+	"coltsusage", "coltsweights",
 }
 
 // adapterImports are what only adapters may depend on.
@@ -173,7 +174,7 @@
 	t.Helper()
 	dirs, err := filepath.Glob("../colts*")
 	assert.NilError(t, err)
-	var names []string
+	names := []string{"platform"}
 	for _, dir := range dirs {
 		if name := filepath.Base(dir); name != "coltsstructure" {
 			names = append(names, name)
