Elect sooner, and let calls of operators and runners wait for a leader.

Change: heartbeats each 100 ms and elections after 500 ms; a call waits for a leader within its second instead of being sent away.

--- a/coltscontrol/control.go
+++ b/coltscontrol/control.go
@@ -223,6 +223,18 @@
 	c.log.Info("Seeds known.", coltslog.Fields{"seeds": seeds})
 }
 
+// ReplicaID names this instance in the group.
+func (c *Control) ReplicaID() coltsidentity.Instance { return c.replicaID }
+
+// Voters returns the voters of the group as this instance knows them, none while it has
+// heard no leader lately.
+func (c *Control) Voters() []coltsidentity.Instance {
+	if !c.inTouch() {
+		return nil
+	}
+	return c.driver.view.Load().configuration.Voters
+}
+
 // Revision returns the document's revision in force.
 func (c *Control) Revision() coltsdocument.Revision {
 	return c.machine.Register.Current().Revision
--- a/coltscontrol/control_service.go
+++ b/coltscontrol/control_service.go
@@ -23,6 +23,10 @@
 	"coltsfootstall/coltswire/coltspb"
 )
 
+// ledPause is the pause before something is tried again that failed for want of a leader:
+// less than an election takes.
+const ledPause = 150 * time.Millisecond
+
 // FormingError reports that the group has too few voters yet to keep what it would
 // acknowledge.
 type FormingError struct {
@@ -73,8 +77,32 @@
 // submitAtLeader carries out a command, here or at the leader.
 func (c *Control) submitAtLeader(ctx context.Context, command coltsstate.Command) error {
 	server := &controlServer{c: c}
-	_, err := server.Submit(ctx, &coltspb.SubmitRequest{Command: coltswire.EncodeCommand(command)})
-	return err
+	return c.untilLed(ctx, func() error {
+		_, err := server.Submit(ctx, &coltspb.SubmitRequest{Command: coltswire.EncodeCommand(command)})
+		return err
+	})
+}
+
+// untilLed calls fn until it succeeds or ctx ends: again when the leader has changed, and
+// after a pause. fn must do no harm if it is carried out twice.
+func (c *Control) untilLed(ctx context.Context, fn func() error) error {
+	for {
+		led := c.led.Wait()
+		err := fn()
+		if err == nil || ctx.Err() != nil || c.stopping() {
+			return err
+		}
+		timer := time.NewTimer(ledPause)
+		select {
+		case <-ctx.Done():
+		case <-led:
+		case <-timer.C:
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return err
+		}
+	}
 }
 
 // checkFormed returns a FormingError while a group that forms itself is too small to
@@ -95,11 +123,13 @@
 // version is 0 if there is none yet.
 func (c *Control) NewestRoutes(ctx context.Context) (coltsroute.Text, error) {
 	server := &controlServer{c: c}
-	reply, err := server.Routes(ctx, &coltspb.RoutesRequest{})
-	if err != nil {
-		return coltsroute.Text{}, err
-	}
-	return coltswire.DecodeRoutesText(reply.GetRoutes()), nil
+	var text coltsroute.Text
+	err := c.untilLed(ctx, func() error {
+		reply, err := server.Routes(ctx, &coltspb.RoutesRequest{})
+		text = coltswire.DecodeRoutesText(reply.GetRoutes())
+		return err
+	})
+	return text, err
 }
 
 // Routes returns the route table that a quorum confirms to be the newest.
@@ -122,7 +152,11 @@
 // registry is kept.
 func (c *Control) ReportUpstream(ctx context.Context, u coltsregistry.Upstream) (netip.Addr, error) {
 	server := &controlServer{c: c}
-	reply, err := server.Report(ctx, &coltspb.ReportRequest{Upstream: coltswire.EncodeReportedUpstream(u)})
+	var reply *coltspb.ReportReply
+	err := c.untilLed(ctx, func() (err error) {
+		reply, err = server.Report(ctx, &coltspb.ReportRequest{Upstream: coltswire.EncodeReportedUpstream(u)})
+		return err
+	})
 	if err != nil {
 		return netip.Addr{}, err
 	}
@@ -137,11 +171,13 @@
 // the zero time if that is not known.
 func (c *Control) LeaveUpstream(ctx context.Context, id coltsidentity.Upstream, born time.Time) error {
 	server := &controlServer{c: c}
-	_, err := server.Report(ctx, &coltspb.ReportRequest{
-		Upstream: coltswire.EncodeReportedUpstream(coltsregistry.Upstream{ID: id, Born: born}),
-		Leaving:  true,
+	return c.untilLed(ctx, func() error {
+		_, err := server.Report(ctx, &coltspb.ReportRequest{
+			Upstream: coltswire.EncodeReportedUpstream(coltsregistry.Upstream{ID: id, Born: born}),
+			Leaving:  true,
+		})
+		return err
 	})
-	return err
 }
 
 // controlAddrs returns where the members of the group are reached, the leader first.
--- a/coltscontrol/replica_driver.go
+++ b/coltscontrol/replica_driver.go
@@ -26,9 +26,10 @@
 	batchLength = 512
 	// incomingLength bounds the deliveries that wait.
 	incomingLength = 1024
-	// heartbeatEvery and electionAfter are the replica's times.
-	heartbeatEvery = 200 * time.Millisecond
-	electionAfter  = 900 * time.Millisecond
+	// heartbeatEvery and electionAfter are the replica's times: five heartbeats may be
+	// lost or late before the others elect a new leader.
+	heartbeatEvery = 100 * time.Millisecond
+	electionAfter  = 500 * time.Millisecond
 	// clockMargin is taken off a leader's lease for clocks that run apart.
 	clockMargin = 100 * time.Millisecond
 	// retainedEntries are kept in memory behind a snapshot, so that a replica
