--- a/coltsattempt/failure_verdict.go
+++ b/coltsattempt/failure_verdict.go
@@ -21,6 +21,12 @@
 	PhaseAnswering
 )
 
+// phaseNames are the phases' names in logs.
+var phaseNames = [...]string{"unsent", "refused", "sent", "answering"}
+
+// String names the phase.
+func (p Phase) String() string { return phaseNames[p] }
+
 // Failure is how an attempt ended without a whole answer.
 type Failure struct {
 	Phase Phase
@@ -47,6 +53,12 @@
 	VerdictResume
 )
 
+// verdictNames are the verdicts' names in logs.
+var verdictNames = [...]string{"fail", "retry", "resume"}
+
+// String names the verdict.
+func (v Verdict) String() string { return verdictNames[v] }
+
 // History is what was tried for a request before.
 type History struct {
 	Attempts int
--- a/coltscontrol/registry_loop.go
+++ b/coltscontrol/registry_loop.go
@@ -117,7 +117,7 @@
 	}
 	if changed {
 		s.c.log.Info("An upstream changed.", coltslog.Fields{
-			"upstream": u.ID, "service": u.Service, "address": u.Addr, "state": u.State,
+			"upstream": u.ID, "service": u.Service, "address": u.Addr, "state": u.State.String(),
 			"leaving": r.GetLeaving(), "sequence": u.Sequence, "weights": u.Weights,
 		})
 		s.c.news.Fire()
--- a/coltsforward/forward_life.go
+++ b/coltsforward/forward_life.go
@@ -7,11 +7,13 @@
 // request did not run unless every attempt is known not to have run it.
 
 import (
+	"errors"
 	"strconv"
 	"strings"
 	"time"
 
 	"coltsfootstall/coltsattempt"
+	"coltsfootstall/coltsbalance"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltsroute"
 	"coltsfootstall/coltsweights"
@@ -25,8 +27,9 @@
 	// room: a few answers of ordinary length later.
 	retryAfterRefusal = 500 * time.Millisecond
 	// retryAfterStart is when a caller may come again to an instance that does not
-	// know the route table yet.
-	retryAfterStart = time.Second
+	// know the route table or any upstream yet: an election and a period of reports
+	// after a start of the whole system.
+	retryAfterStart = 2 * time.Second
 )
 
 // Part is a part of a prompt that requests may share.
@@ -211,8 +214,13 @@
 // NoUpstream returns what the caller is told if there is none to send to.
 func (l *Life) NoUpstream(err error, now time.Time) *coltsattempt.RefusedError {
 	refused := &coltsattempt.RefusedError{Outcome: l.outcome, Reason: coltsattempt.ReasonNoUpstream, Detail: err.Error()}
-	if l.outcome == coltsattempt.OutcomeNotRun {
-		refused.RetryAt = now.Add(retryAfterRefusal)
+	if l.outcome != coltsattempt.OutcomeNotRun {
+		return refused
+	}
+	refused.RetryAt = now.Add(retryAfterRefusal)
+	var none *coltsbalance.NoUpstreamError
+	if errors.As(err, &none) && none.Known == 0 {
+		refused.RetryAt = now.Add(retryAfterStart)
 	}
 	return refused
 }
--- a/coltsgateway/control_watch.go
+++ b/coltsgateway/control_watch.go
@@ -234,7 +234,7 @@
 		w.g.balancer.Update(e)
 		w.g.log.Info("An upstream changed.", coltslog.Fields{
 			"upstream": e.Upstream.ID, "service": e.Upstream.Service, "address": e.Upstream.Addr,
-			"state": e.Upstream.State, "silent": e.Silent, "sequence": e.Upstream.Sequence,
+			"state": e.Upstream.State.String(), "silent": e.Silent, "sequence": e.Upstream.Sequence,
 			"weights": e.Upstream.Weights, "source": w.source,
 		})
 	}
--- a/coltsgateway/forward_report.go
+++ b/coltsgateway/forward_report.go
@@ -17,7 +17,7 @@
 func (f *forwarding) logAttempt(failure *attemptError, verdict coltsattempt.Verdict) {
 	fields := f.logFields(f.life.Asked.ID)
 	fields["upstream"], fields["running"] = f.choice.Upstream.ID, f.choice.Running
-	fields["phase"], fields["verdict"], fields["cause"] = failure.Phase, verdict, failure.Detail
+	fields["phase"], fields["verdict"], fields["cause"] = failure.Phase.String(), verdict.String(), failure.Detail
 	f.g.log.Info("An attempt failed.", fields)
 }
 
