--- a/coltsgateway/wire_text.go
+++ b/coltsgateway/wire_text.go
@@ -58,7 +58,6 @@
 
 // isBroken says whether a connection ended.
 func isBroken(err error) bool {
-	var broken fasthttp.ErrBrokenChunk
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) ||
-		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.As(err, &broken) && isBroken(errors.Unwrap(err))
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
--- a/coltsupstream/upstream_client.go
+++ b/coltsupstream/upstream_client.go
@@ -1,3 +1,7 @@
+// Package coltsupstream speaks to upstreams: it sends requests over pooled
+// connections, reads their streams, and says how far a failed attempt had come.
+//
+// It decides nothing: whether a failure is tried again is coltsattempt's rule.
 package coltsupstream
 
 // One function sends a request, and every way in which it can fail is turned
