Stop a request that crashes upstreams after the third, at every gateway.

Cause: nothing counted crashes at gateways; a request that comes again with another identity at another entry could take a runner each time. Change: a failed attempt whose upstream takes no new connection counts as a crash by the request's target, organisation and body; the leader passes counts on; after three crashes the request is refused as not run. One that ends well is cleared.

--- a/coltsattempt/quarantine.go
+++ b/coltsattempt/quarantine.go
@@ -17,7 +17,7 @@
 
 const (
 	// crashesToQuarantine is the number of distinct upstreams that a request
-	// may take with it before it is refused.
+	// may take with it before it is refused, unless configured.
 	crashesToQuarantine = 2
 	// quarantineRetention is how long a crash counts.
 	quarantineRetention = time.Hour
@@ -45,8 +45,16 @@
 	clearedUntil time.Time
 }
 
+// QuarantineConfig says when a request is refused.
+type QuarantineConfig struct {
+	// Crashes is the number of distinct upstreams that a request may take with it; 0
+	// for two.
+	Crashes int
+}
+
 // Quarantine counts crashes by fingerprint.
 type Quarantine struct {
+	cfg    QuarantineConfig
 	shards [coltsshard.Count]quarantineShard
 }
 
@@ -56,8 +64,11 @@
 }
 
 // NewQuarantine returns an empty quarantine.
-func NewQuarantine() *Quarantine {
-	q := &Quarantine{}
+func NewQuarantine(cfg QuarantineConfig) *Quarantine {
+	if cfg.Crashes == 0 {
+		cfg.Crashes = crashesToQuarantine
+	}
+	q := &Quarantine{cfg: cfg}
 	for i := range q.shards {
 		q.shards[i].suspects = map[coltsidentity.Digest]record{}
 	}
@@ -143,12 +154,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	suspect := s.suspects[f].suspect
-	if !now.Before(suspect.ForgetAt) || len(suspect.Upstreams) < crashesToQuarantine {
+	if !now.Before(suspect.ForgetAt) || len(suspect.Upstreams) < q.cfg.Crashes {
 		return time.Time{}
 	}
 	return suspect.ForgetAt
 }
 
+// Any says whether any request is remembered.
+func (q *Quarantine) Any() bool {
+	for i := range q.shards {
+		s := &q.shards[i]
+		s.mu.Lock()
+		n := len(s.suspects)
+		s.mu.Unlock()
+		if n > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Suspects lists what is remembered, in the order of the fingerprints.
 func (q *Quarantine) Suspects(now time.Time) []Suspect {
 	var all []Suspect
--- a/coltsattempt/quarantine_test.go
+++ b/coltsattempt/quarantine_test.go
@@ -15,7 +15,7 @@
 )
 
 func crashed(upstreams ...coltsidentity.Upstream) *Quarantine {
-	q := NewQuarantine()
+	q := NewQuarantine(QuarantineConfig{})
 	for _, u := range upstreams {
 		q.Crashed(fingerprint, u, start)
 	}
--- a/coltscapacity/capacity_world.go
+++ b/coltscapacity/capacity_world.go
@@ -77,7 +77,7 @@
 		Directory:   coltscache.NewDirectory(),
 		Links:       coltscache.NewLinks(),
 		Budget:      coltsattempt.NewBudget(),
-		Quarantine:  coltsattempt.NewQuarantine(),
+		Quarantine:  coltsattempt.NewQuarantine(coltsattempt.QuarantineConfig{}),
 		Policy:      policy,
 		MaxAttempts: 3,
 		KeepCache:   true,
--- a/coltscontrol/control.go
+++ b/coltscontrol/control.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltsbalance"
 	"coltsfootstall/coltsdocument"
 	"coltsfootstall/coltsidentity"
@@ -86,6 +87,8 @@
 	// are the leader's.
 	catalogue *coltsstore.Catalogue
 	loads     *coltsbalance.Loads
+	// suspects are the requests that entries saw crash upstreams.
+	suspects *coltsattempt.Quarantine
 	// routes is the newest route table that this instance has applied.
 	routes atomic.Pointer[coltsroute.Text]
 	// seeds are the hosts through which the group is found; a reload changes them.
@@ -129,6 +132,7 @@
 
 		catalogue: coltsstore.NewCatalogue(),
 		loads:     coltsbalance.NewLoads(),
+		suspects:  coltsattempt.NewQuarantine(coltsattempt.QuarantineConfig{}),
 		registry:  coltsregistry.NewRegistry(coltsregistry.Config{SilentAfter: cfg.Settings.Control.SilentAfter}),
 	}
 	c.registrySource = string(c.id()) + " " + c.started.Format(time.RFC3339Nano)
--- a/coltscontrol/registry_loop.go
+++ b/coltscontrol/registry_loop.go
@@ -131,6 +131,7 @@
 		member := coltswire.DecodeMember(r.GetMember())
 		s.c.roster.Heartbeat(member, s.c.cfg.Now())
 		s.c.loads.Report(member.ID, coltswire.DecodeLoads(r.GetLoads()), s.c.cfg.Now())
+		s.takeSuspects(r)
 	}
 	timer := time.NewTimer(time.Duration(r.GetWaitNanos()))
 	defer timer.Stop()
@@ -182,6 +183,34 @@
 	return reply, s.watchedStores(r, reply, known) || isNews
 }
 
+// mostSuspects bounds the suspects that are told at once.
+const mostSuspects = 64
+
+// takeSuspects takes in which requests an entry saw crash upstreams.
+func (s *controlServer) takeSuspects(r *coltspb.WatchRequest) {
+	for _, m := range r.GetSuspects() {
+		suspect := coltswire.DecodeSuspect(m)
+		if s.c.suspects.Merge(suspect, s.c.cfg.Now()) {
+			s.c.log.Info("A request was running on an upstream that crashed.", coltslog.Fields{
+				"fingerprint": suspect.Fingerprint, "upstreams": suspect.Upstreams, "entry": r.GetMember().GetId(),
+			})
+			s.c.news.Fire()
+		}
+	}
+}
+
+// sharedSuspects returns the suspects of more than one crash. Most others only ran beside
+// the culprit.
+func (s *controlServer) sharedSuspects() []*coltspb.Suspect {
+	var shared []*coltspb.Suspect
+	for _, suspect := range s.c.suspects.Suspects(s.c.cfg.Now()) {
+		if len(suspect.Upstreams) > 1 && len(shared) < mostSuspects {
+			shared = append(shared, coltswire.EncodeSuspect(suspect))
+		}
+	}
+	return shared
+}
+
 // watchedStores adds what only the leader knows, and says whether any of it is news that
 // should not wait. Loads change all the time and come with whatever is told.
 func (s *controlServer) watchedStores(r *coltspb.WatchRequest, reply *coltspb.WatchReply, known bool) bool {
@@ -196,5 +225,6 @@
 	}
 	changes, upTo, whole := s.c.catalogue.Since(after)
 	reply.Stores, reply.StoreRevision, reply.StoresWhole = coltswire.EncodeStoreChanges(changes), upTo, whole
+	reply.Suspects = s.sharedSuspects()
 	return whole && len(changes) > 0
 }
--- a/coltsentry/entry.go
+++ b/coltsentry/entry.go
@@ -114,7 +114,7 @@
 		started:    cfg.Now(),
 		fleet:      coltsfleet.New(),
 		directory:  coltscache.NewDirectory(),
-		quarantine: coltsattempt.NewQuarantine(),
+		quarantine: coltsattempt.NewQuarantine(coltsattempt.QuarantineConfig{}),
 		recorder:   coltsobjective.NewRecorder(),
 		meter:      coltsusage.NewMeter(),
 		background: pond.NewPool(backgroundWorkers, pond.WithQueueSize(backgroundQueue)),
--- a/coltsgateway/control_watch.go
+++ b/coltsgateway/control_watch.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslink"
 	"coltsfootstall/coltslog"
@@ -53,6 +54,8 @@
 	stores      uint64
 	heard       map[coltsidentity.Upstream]bool
 	inTouch     bool
+	// told counts the crashes of each suspect that source was told of.
+	told map[coltsidentity.Digest]int
 	// failedAt is when an instance last failed to answer.
 	failedAt map[netip.AddrPort]time.Time
 	// heardAt is when control last answered.
@@ -66,6 +69,7 @@
 		heard:   map[coltsidentity.Upstream]bool{},
 
 		failedAt: map[netip.AddrPort]time.Time{},
+		told:     map[coltsidentity.Digest]int{},
 	}
 }
 
@@ -130,6 +134,7 @@
 		RegistryRevision: w.revision,
 		StoreRevision:    w.stores,
 		Loads:            coltswire.EncodeLoads(w.g.balancer.Loads()),
+		Suspects:         coltswire.EncodeSuspects(w.untold()),
 		WaitNanos:        int64(watchWait),
 	})
 }
@@ -138,6 +143,7 @@
 func (w *controlWatcher) lost(addr netip.AddrPort, err error) {
 	w.g.metrics.Add(coltsmetric.WatchFailures, 1)
 	w.failedAt[addr] = w.g.now()
+	clear(w.told)
 	if !w.inTouch {
 		return
 	}
@@ -159,6 +165,7 @@
 	if w.source != reply.GetSource() {
 		w.source, w.sourceSince = reply.GetSource(), now
 		clear(w.heard)
+		clear(w.told)
 	}
 	if reply.GetWeightsRevision() != w.weights || len(reply.GetWeights()) > 0 {
 		w.weights = reply.GetWeightsRevision()
@@ -174,6 +181,35 @@
 		w.takeStores(reply, now)
 		w.g.balancer.SetOthers(coltswire.DecodeLoads(reply.GetLoads()), now)
 		w.g.room.Fire()
+		w.takeSuspects(reply, now)
+	}
+}
+
+// untold returns the suspects of whose crashes control has not been told. If no answer
+// comes they are all told again.
+func (w *controlWatcher) untold() []coltsattempt.Suspect {
+	if !w.g.suspects.Any() {
+		return nil
+	}
+	var untold []coltsattempt.Suspect
+	for _, suspect := range w.g.suspects.Suspects(w.g.now()) {
+		if crashes := len(suspect.Upstreams); crashes > w.told[suspect.Fingerprint] {
+			w.told[suspect.Fingerprint] = crashes
+			untold = append(untold, suspect)
+		}
+	}
+	return untold
+}
+
+// takeSuspects takes in which requests others saw crash upstreams.
+func (w *controlWatcher) takeSuspects(reply *coltspb.WatchReply, now time.Time) {
+	for _, m := range reply.GetSuspects() {
+		suspect := coltswire.DecodeSuspect(m)
+		if w.g.suspects.Merge(suspect, now) {
+			w.g.log.Warn("A request is suspected of crashing upstreams.", coltslog.Fields{
+				"fingerprint": suspect.Fingerprint, "upstreams": suspect.Upstreams, "source": w.source,
+			})
+		}
 	}
 }
 
--- a/coltsgateway/forward_request.go
+++ b/coltsgateway/forward_request.go
@@ -69,12 +69,16 @@
 		return f.refuseError(asked.ID, err)
 	}
 	f.lastEvent = asked.LastEvent
+	if refused := f.blocked(now); refused != nil {
+		return f.refuse(asked.ID, refused)
+	}
 	f.g.budget.Request(f.life.Service, now)
 	ctx, cancel := context.WithCancel(f.g.running)
 	defer cancel()
 	f.conn.nc.Watch(cancel)
 	keep := f.attempts(ctx)
 	f.conn.nc.Unwatch()
+	f.clear()
 	f.report(ctx)
 	return keep && !f.g.draining.Load()
 }
@@ -97,6 +101,7 @@
 		if ctx.Err() != nil {
 			return false
 		}
+		f.noteCrash(ctx, failure)
 		now := f.g.now()
 		verdict := f.life.Failed(failure.Failure, f.takeRetry, now)
 		f.logAttempt(failure, verdict)
--- a/coltsgateway/gateway.go
+++ b/coltsgateway/gateway.go
@@ -34,6 +34,9 @@
 	// upstreamReadBytes is the size of a connection's read buffer, above the longest
 	// head that an upstream sends.
 	upstreamReadBytes = 4 << 10
+	// crashesToRefuse is the number of upstreams that a request may take with it. One
+	// that ran beside the culprit twice is still served.
+	crashesToRefuse = 3
 )
 
 // Config says what a gateway instance is made of.
@@ -61,10 +64,12 @@
 	stores   *coltsstore.Directory
 	queue    *coltsbalance.Queue
 	// room is fired when an upstream may have got room.
-	room    *coltsloop.Signal
-	budget  *coltsattempt.Window
-	pool    *coltspool.Pool
-	watcher *controlWatcher
+	room   *coltsloop.Signal
+	budget *coltsattempt.Window
+	// suspects are the requests that crashed upstreams, here or elsewhere.
+	suspects *coltsattempt.Quarantine
+	pool     *coltspool.Pool
+	watcher  *controlWatcher
 	// seeds are the hosts through which control is found; a reload changes them.
 	seeds atomic.Pointer[[]netip.AddrPort]
 	// instances is the number of entry instances that share the budget.
@@ -100,6 +105,7 @@
 		routes:   coltsroute.NewRegister(),
 		weights:  coltsweights.NewRegister(),
 		balancer: coltsbalance.New(coltsbalance.Config{}),
+		suspects: coltsattempt.NewQuarantine(coltsattempt.QuarantineConfig{Crashes: crashesToRefuse}),
 		stores:   coltsstore.NewDirectory(),
 		queue:    coltsbalance.NewQueue(),
 		room:     coltsloop.NewSignal(),
--- a/coltsgateway/upstream_exchange.go
+++ b/coltsgateway/upstream_exchange.go
@@ -36,6 +36,8 @@
 	outcome coltsbalance.Outcome
 	// misdirected says that another upstream was reached, or one with other weights.
 	misdirected bool
+	// broke says that the connection broke, as it does when the upstream dies.
+	broke bool
 }
 
 // Error gives the detail.
@@ -115,7 +117,9 @@
 	if n == 0 {
 		phase = coltsattempt.PhaseUnsent
 	}
-	return failed(phase, x.blame(), "request to %s was cut off after %d bytes: %v", x.choice.Upstream.ID, n, err)
+	f := failed(phase, x.blame(), "request to %s was cut off after %d bytes: %v", x.choice.Upstream.ID, n, err)
+	f.broke = true
+	return f
 }
 
 // blame is what a broken connection says of the upstream: nothing if the request was
@@ -177,7 +181,9 @@
 	if isTimeout(err) && x.ctx.Err() == nil {
 		return failed(phase, coltsbalance.OutcomeFailed, "upstream %s did not answer in time", x.choice.Upstream.ID)
 	}
-	return failed(phase, x.blame(), "answer of %s broke off: %v", x.choice.Upstream.ID, err)
+	f := failed(phase, x.blame(), "answer of %s broke off: %v", x.choice.Upstream.ID, err)
+	f.broke = isBroken(err)
+	return f
 }
 
 // judgeHead finds out whether the answer is one that the request can end with.
--- a/coltspool/pool.go
+++ b/coltspool/pool.go
@@ -198,6 +198,16 @@
 	return true
 }
 
+// Reaches says whether an upstream takes a new connection, which is kept for later.
+func (p *Pool) Reaches(ctx context.Context, addr netip.AddrPort) bool {
+	c, err := p.dial(ctx, addr)
+	if err != nil {
+		return false
+	}
+	p.Put(c)
+	return true
+}
+
 // hasEnded says whether the other end has closed the connection, or has sent
 // something that nobody asked for, without waiting.
 func hasEnded(nc net.Conn) bool {
--- a/coltsrequest/request_life_test.go
+++ b/coltsrequest/request_life_test.go
@@ -44,7 +44,7 @@
 		Directory:   coltscache.NewDirectory(),
 		Links:       coltscache.NewLinks(),
 		Budget:      coltsattempt.NewBudget(),
-		Quarantine:  coltsattempt.NewQuarantine(),
+		Quarantine:  coltsattempt.NewQuarantine(coltsattempt.QuarantineConfig{}),
 		Policy:      policy,
 		MaxAttempts: 3,
 		KeepCache:   true,
--- a/coltswire/wire_member.go
+++ b/coltswire/wire_member.go
@@ -93,3 +93,8 @@
 		ForgetAt:    DecodeTime(m.GetForgetAt()),
 	}
 }
+
+// EncodeSuspects returns the suspects' messages.
+func EncodeSuspects(suspects []coltsattempt.Suspect) []*coltspb.Suspect {
+	return convert(suspects, EncodeSuspect)
+}
