Send first who can be on time, and count what a runner has still to read.

Change: those that can still be on time go before the others; who waited three times its goal is refused as not run and told to come again after the crest; tokens that are not read yet count three times in the choice of a runner.

--- a/coltsbalance/balance_queue.go
+++ b/coltsbalance/balance_queue.go
@@ -1,12 +1,14 @@
 package coltsbalance
 
 // A request that finds no room waits here rather than at a runner, where it would push
-// out kept parts and hold up what came behind it. Who waits is served in the order of
-// rank and arrival, so that a long prompt is not overtaken for ever by short ones.
+// out kept parts and hold up what came behind it. Those that can still be on time go
+// first, in the order of rank and arrival: if all waited in one line through a crest, all
+// would be late. Those that can't any more are served when no other waits.
 
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltsshard"
@@ -19,7 +21,8 @@
 }
 
 type queueShard struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// waiting stand in the order of their arrival.
 	waiting map[coltsidentity.Service][]*Ticket
 }
 
@@ -27,11 +30,18 @@
 type Ticket struct {
 	service coltsidentity.Service
 	rank    int
-	turn    chan struct{}
+	// onTimeUntil is until when the request can still be on time.
+	onTimeUntil time.Time
 }
 
-// Turn is closed when the ticket is the first of its service.
-func (t *Ticket) Turn() <-chan struct{} { return t.turn }
+// before says whether a ticket goes before one that arrived before it.
+func (t *Ticket) before(other *Ticket, now time.Time) bool {
+	late, otherLate := !now.Before(t.onTimeUntil), !now.Before(other.onTimeUntil)
+	if late != otherLate {
+		return otherLate
+	}
+	return t.rank < other.rank
+}
 
 // NewQueue returns a queue in which nobody waits.
 func NewQueue() *Queue {
@@ -42,48 +52,53 @@
 	return q
 }
 
-// Waits says whether a request of a rank would have to wait behind another.
-func (q *Queue) Waits(service coltsidentity.Service, rank int) bool {
+// Join takes a place. onTimeUntil is until when the request can still be on time if it is
+// sent.
+func (q *Queue) Join(service coltsidentity.Service, rank int, onTimeUntil time.Time) *Ticket {
+	t := &Ticket{service: service, rank: rank, onTimeUntil: onTimeUntil}
 	s := &q.shards[coltsshard.Of(service)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	waiting := s.waiting[service]
-	return len(waiting) > 0 && waiting[0].rank <= rank
+	s.waiting[service] = append(s.waiting[service], t)
+	return t
 }
 
-// Join takes a place behind all of the same or a better rank.
-func (q *Queue) Join(service coltsidentity.Service, rank int) *Ticket {
-	t := &Ticket{service: service, rank: rank, turn: make(chan struct{})}
-	s := &q.shards[coltsshard.Of(service)]
+// IsFirst says whether a ticket's request is the one to be sent next.
+func (q *Queue) IsFirst(t *Ticket, now time.Time) bool {
+	s := &q.shards[coltsshard.Of(t.service)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	waiting := s.waiting[service]
-	// The first has had its turn and keeps it.
-	at := min(1, len(waiting))
-	for at < len(waiting) && waiting[at].rank <= rank {
-		at++
-	}
-	s.waiting[service] = slices.Insert(waiting, at, t)
-	if at == 0 {
-		close(t.turn)
+	return s.firstLocked(t.service, now) == t
+}
+
+func (s *queueShard) firstLocked(service coltsidentity.Service, now time.Time) *Ticket {
+	var first *Ticket
+	for _, t := range s.waiting[service] {
+		if first == nil || t.before(first, now) {
+			first = t
+		}
 	}
-	return t
+	return first
 }
 
-// Leave gives a place up; the next one gets its turn.
+// Waits says whether a request that comes now and can be on time has to wait behind
+// another.
+func (q *Queue) Waits(service coltsidentity.Service, rank int, now time.Time) bool {
+	s := &q.shards[coltsshard.Of(service)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := s.firstLocked(service, now)
+	return first != nil && now.Before(first.onTimeUntil) && first.rank <= rank
+}
+
+// Leave gives a place up.
 func (q *Queue) Leave(t *Ticket) {
 	s := &q.shards[coltsshard.Of(t.service)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	waiting := s.waiting[t.service]
-	at := slices.Index(waiting, t)
-	if at < 0 {
-		return
-	}
-	waiting = slices.Delete(waiting, at, at+1)
-	s.waiting[t.service] = waiting
-	if at == 0 && len(waiting) > 0 {
-		close(waiting[0].turn)
+	if at := slices.Index(waiting, t); at >= 0 {
+		s.waiting[t.service] = slices.Delete(waiting, at, at+1)
 	}
 }
 
--- a/coltsbalance/balance_upstream.go
+++ b/coltsbalance/balance_upstream.go
@@ -46,6 +46,11 @@
 	// none; NearBonus is what it is worth to reach an upstream there.
 	Near      coltsidentity.DataCentre
 	NearBonus float64
+	// Reading is the work that must be done before the answer begins, in the unit of
+	// Weight; it holds up what runs at the upstream meanwhile. ReadingBias is what the
+	// reading of a whole capacity costs.
+	Reading     float64
+	ReadingBias float64
 	// HomeBonus is what it is worth to reach the home, as a share of the capacity.
 	HomeBonus float64
 	// Model is the model that the request needs, and Least the lowest version of it
@@ -60,6 +65,8 @@
 type Choice struct {
 	Upstream coltsregistry.Upstream
 	Weight   float64
+	// Reading is what is not read yet of the weight.
+	Reading float64
 	// Running is the number of this instance's requests there, this one included.
 	Running int
 	// Load is what is known to be under way there, this request included, as a share
@@ -111,13 +118,16 @@
 type FullError struct {
 	Service coltsidentity.Service
 	// Load is that of the least loaded one, the request included, as a share of its
-	// capacity.
+	// capacity; 0 if none was looked at.
 	Load float64
+	// Waiting is the number of requests that wait for it.
+	Waiting int
 }
 
-// Error gives the load.
+// Error gives load and queue.
 func (e *FullError) Error() string {
-	return fmt.Sprintf("service %q has no room: the least loaded upstream would be at %.2f of its capacity", e.Service, e.Load)
+	return fmt.Sprintf("service %q has no room: its least loaded upstream would be at %.2f of its capacity, and %d wait",
+		e.Service, e.Load, e.Waiting)
 }
 
 // upstream is what this instance knows of one.
@@ -127,6 +137,8 @@
 	loading bool
 	running int
 	load    float64
+	// reading is the part of the load that is not read yet.
+	reading float64
 	// others is what the other instances have under way here, until it is too old.
 	others      float64
 	othersUntil time.Time
--- a/coltsbalance/balancer.go
+++ b/coltsbalance/balancer.go
@@ -92,6 +92,8 @@
 	// near says that it is where the request's parts are.
 	near bool
 	rank uint64
+	// reading is the work there whose answers have not begun.
+	reading float64
 }
 
 // Choose returns the upstream for a demand and counts it as loaded there. It returns
@@ -130,7 +132,7 @@
 				continue
 			}
 			c := candidate{id: id, load: u.total(now), rests: u.rests(now), rank: coltsshard.Rank(d.Affinity, id),
-				near: d.Near != "" && u.record.DataCentre == d.Near}
+				near: d.Near != "" && u.record.DataCentre == d.Near, reading: u.reading}
 			if !c.rests {
 				awake++
 			}
@@ -190,6 +192,7 @@
 	if c.near {
 		cost -= d.NearBonus
 	}
+	cost += d.ReadingBias * (c.reading + d.Reading) / max(1, d.Capacity)
 	return cost
 }
 
@@ -204,11 +207,23 @@
 	}
 	u.running++
 	u.load += d.Weight
+	u.reading += d.Reading
 	return Choice{
-		Upstream: u.record, Weight: d.Weight, Running: u.running, Load: u.total(now) / max(1, d.Capacity),
+		Upstream: u.record, Weight: d.Weight, Reading: d.Reading, Running: u.running, Load: u.total(now) / max(1, d.Capacity),
 	}, true
 }
 
+// Begun takes in that the answer to a choice's request has begun: all is read.
+func (b *Balancer) Begun(c *Choice) {
+	s := &b.shards[coltsshard.Of(c.Upstream.ID)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if u, known := s.upstreams[c.Upstream.ID]; known {
+		u.reading = max(0, u.reading-c.Reading)
+	}
+	c.Reading = 0
+}
+
 // Done takes a choice's load off and notes how the request ended.
 func (b *Balancer) Done(c Choice, outcome Outcome, now time.Time) {
 	s := &b.shards[coltsshard.Of(c.Upstream.ID)]
@@ -220,6 +235,7 @@
 	}
 	u.running--
 	u.load -= c.Weight
+	u.reading = max(0, u.reading-c.Reading)
 	if u.running <= 0 {
 		u.running, u.load = 0, 0
 	}
--- a/coltsforward/forward_life.go
+++ b/coltsforward/forward_life.go
@@ -23,6 +23,15 @@
 	// sparedTime is what an attempt must have left to be worth making: less is used
 	// up by the way to the upstream and back.
 	sparedTime = 10 * time.Millisecond
+	// sendBy is the share of a route's goal within which a request must be sent to be
+	// on time: the rest is what an upstream with room takes to begin.
+	sendBy = 0.55
+	// patience is how many times its goal a request waits for room: callers leave after
+	// four times theirs.
+	patience = 3
+	// retryAfterCrest is when a caller may come again whose request waited in vain: a
+	// crest lasts a few seconds.
+	retryAfterCrest = 2500 * time.Millisecond
 	// retryAfterRefusal is when a caller may come again after a refusal for want of
 	// room: a few answers of ordinary length later.
 	retryAfterRefusal = 500 * time.Millisecond
@@ -123,6 +132,22 @@
 	return l.RouteDeadline
 }
 
+// OnTimeUntil returns until when the request can still be on time if it is sent to an
+// upstream that has room.
+func (l *Life) OnTimeUntil() time.Time {
+	return l.Arrived.Add(time.Duration(sendBy * float64(l.Route.Goal)))
+}
+
+// PatientUntil returns until when the request may wait for room: callers leave streams
+// that say nothing for some time.
+func (l *Life) PatientUntil() time.Time {
+	until := l.Arrived.Add(time.Duration(patience * float64(l.Route.Goal)))
+	if deadline := l.Deadline(); deadline.Before(until) {
+		return deadline
+	}
+	return until
+}
+
 // Priority returns the request's rank, 0 before all others.
 func (l *Life) Priority() int {
 	if l.Organisation.Ranked {
@@ -218,6 +243,11 @@
 		return refused
 	}
 	refused.RetryAt = now.Add(retryAfterRefusal)
+	var full *coltsbalance.FullError
+	if errors.As(err, &full) {
+		refused.Reason = coltsattempt.ReasonOverloaded
+		refused.RetryAt = now.Add(retryAfterCrest)
+	}
 	var none *coltsbalance.NoUpstreamError
 	if errors.As(err, &none) && none.Known == 0 {
 		refused.RetryAt = now.Add(retryAfterStart)
--- a/coltsgateway/forward_request.go
+++ b/coltsgateway/forward_request.go
@@ -139,6 +139,7 @@
 	f.g.metrics.Add(coltsmetric.Attempts, 1)
 	f.life.Sending(choice.Upstream.ID)
 	failure := f.exchange(ctx)
+	choice = f.choice
 	outcome := coltsbalance.OutcomeAnswered
 	if failure != nil {
 		outcome = failure.outcome
@@ -158,6 +159,11 @@
 const (
 	// longShare is the share of a runner's memory from which a prompt counts as long.
 	longShare = 0.04
+	// readingBias is how many times more the tokens count that are not read yet: they
+	// hold up the streams at their runner.
+	readingBias = 3
+	// firstWeights is the version that models have before one is named.
+	firstWeights = 1
 	// fullShare is the share of a runner's memory up to which long prompts are sent to
 	// it: at more, what it keeps and fetches is pushed out before it is used, and short
 	// prompts find no room.
@@ -188,10 +194,18 @@
 	if f.life.Route.Sticky {
 		d.Affinity, d.HomeBonus = []byte(f.life.Affinity()), homeBonus
 		d.Near, d.NearBonus = f.near(), nearBonus
+		d.Reading, d.ReadingBias = float64(f.reads()), readingBias
 	}
 	return d
 }
 
+// reads returns how many tokens of the prompt a runner has to read that keeps none of it.
+func (f *forwarding) reads() int {
+	number := max(firstWeights, f.g.weights.Wanted(f.life.Asked.Model).Number)
+	scope := coltsforward.CacheScope(number, f.life.Organisation)
+	return f.life.Asked.PromptTokens - f.g.stores.Held(f.wanted(scope), f.g.now())
+}
+
 // near returns the data centre of the store that the prompt's parts are in, empty if they
 // are in none.
 func (f *forwarding) near() coltsidentity.DataCentre {
--- a/coltsgateway/forward_room.go
+++ b/coltsgateway/forward_room.go
@@ -1,7 +1,8 @@
 package coltsgateway
 
-// Waiting for room at an upstream: in order, woken when something has ended here or the
-// other instances' loads are known anew, and never past the request's deadline.
+// Waiting for room at an upstream, woken when something has ended here or the other
+// instances' loads are known anew. Who has waited for so long that its caller is about to
+// leave is refused, and told to come again after the crest.
 
 import (
 	"context"
@@ -14,26 +15,32 @@
 
 // choose returns the upstream for the next attempt, after a wait if none has room.
 func (f *forwarding) choose(ctx context.Context) (coltsbalance.Choice, error) {
+	now := f.g.now()
 	demand := f.demand()
-	waits := demand.Limit > 0 && f.g.queue.Waits(f.life.Service, f.life.Priority())
+	waits := demand.Limit > 0 && f.g.queue.Waits(f.life.Service, f.life.Priority(), now)
 	if !waits {
-		choice, err := f.g.balancer.Choose(demand, f.g.now())
+		choice, err := f.g.balancer.Choose(demand, now)
 		if !isFull(err) {
 			return choice, err
 		}
 	}
-	began := f.g.now()
-	ticket := f.g.queue.Join(f.life.Service, f.life.Priority())
+	ticket := f.g.queue.Join(f.life.Service, f.life.Priority(), f.life.OnTimeUntil())
 	defer f.g.queue.Leave(ticket)
-	timer := time.NewTimer(f.life.Deadline().Sub(began))
+	defer func() { f.waited += f.g.now().Sub(now) }()
+	return f.await(ctx, ticket)
+}
+
+// await waits for a ticket's turn and for room.
+func (f *forwarding) await(ctx context.Context, ticket *coltsbalance.Ticket) (coltsbalance.Choice, error) {
+	timer := time.NewTimer(f.life.PatientUntil().Sub(f.g.now()))
 	defer timer.Stop()
-	defer func() { f.waited += f.g.now().Sub(began) }()
-	turn := ticket.Turn()
 	for {
 		room := f.g.room.Wait()
-		if turn == nil {
-			choice, err := f.g.balancer.Choose(f.demand(), f.g.now())
-			if !isFull(err) {
+		now := f.g.now()
+		full := &coltsbalance.FullError{Service: f.life.Service, Waiting: f.g.queue.Len(f.life.Service)}
+		if f.g.queue.IsFirst(ticket, now) {
+			choice, err := f.g.balancer.Choose(f.demand(), now)
+			if !errors.As(err, &full) {
 				return choice, err
 			}
 		}
@@ -41,9 +48,7 @@
 		case <-ctx.Done():
 			return coltsbalance.Choice{}, ctx.Err()
 		case <-timer.C:
-			return coltsbalance.Choice{}, &coltsbalance.FullError{Service: f.life.Service, Load: demand.Limit}
-		case <-turn:
-			turn = nil
+			return coltsbalance.Choice{}, full
 		case <-room:
 		}
 	}
--- a/coltsgateway/forward_stream.go
+++ b/coltsgateway/forward_stream.go
@@ -109,6 +109,7 @@
 
 func (f *forwarding) appendStreamHead(dst []byte, x *exchange) []byte {
 	f.headSent = true
+	f.g.balancer.Begun(&f.choice)
 	f.status = x.resp.StatusCode()
 	f.firstAt = f.g.now()
 	f.closes = f.closes || f.g.draining.Load()
--- a/coltsstore/store_directory.go
+++ b/coltsstore/store_directory.go
@@ -217,6 +217,20 @@
 	return "", false
 }
 
+// Held returns how many tokens of a prompt's parts can be fetched.
+func (d *Directory) Held(parts []Wanted, now time.Time) int {
+	if !d.confirmed(now) {
+		return 0
+	}
+	held := 0
+	for _, part := range parts {
+		if _, tokens, has := d.find(part.Key); has {
+			held += tokens
+		}
+	}
+	return held
+}
+
 // Near returns the store that the largest of a prompt's parts belongs into, whatever it
 // may be shared within; empty for none.
 func (d *Directory) Near(parts []Wanted, stores []coltsroute.Service) coltsidentity.Service {
