Hold each named version of weights due from its own naming.

Orders that got no answer kept their places for 1.7 s each, which made the roll-out slow. Change: the register keeps the versions before the newest and says which were named by a time; a runner that does not answer leaves its place to another; orders time out after 0.5 s. Ruled out: late knowledge at the gateways (all heard of version 2 within 10 ms).

--- a/coltsgateway/forward_request.go
+++ b/coltsgateway/forward_request.go
@@ -234,11 +234,10 @@
 // leastWeights returns the lowest version that may serve the request, 0 for any.
 func (f *forwarding) leastWeights() coltsweights.Number {
 	due := f.g.settings.WeightsDue
-	wanted := f.g.weights.Wanted(f.life.Asked.Model)
-	if due == 0 || wanted.Number == 0 || f.g.now().Before(wanted.At.Add(due-weightsMargin)) {
+	if due == 0 {
 		return 0
 	}
-	return wanted.Number
+	return f.g.weights.NamedBy(f.life.Asked.Model, f.g.now().Add(weightsMargin-due))
 }
 
 // exchange sends the request to the chosen upstream and passes its answer on.
--- a/coltsweights/weights_register.go
+++ b/coltsweights/weights_register.go
@@ -14,6 +14,9 @@
 	"coltsfootstall/coltsidentity"
 )
 
+// keptNamed bounds the versions that are kept behind the newest one.
+const keptNamed = 16
+
 // Number is a version of a model's weights; the first one is 1, 0 is unknown.
 type Number uint64
 
@@ -34,22 +37,29 @@
 type Register struct {
 	mu    sync.Mutex
 	named map[coltsidentity.Model]Named
+	// earlier are the versions that were named before the newest one, the oldest first.
+	earlier map[coltsidentity.Model][]Named
 	// revision counts the changes.
 	revision uint64
 }
 
 // NewRegister returns a register in which nothing is named.
 func NewRegister() *Register {
-	return &Register{named: map[coltsidentity.Model]Named{}}
+	return &Register{named: map[coltsidentity.Model]Named{}, earlier: map[coltsidentity.Model][]Named{}}
 }
 
 // Name takes in a named version and says whether it is news. Versions never go back.
 func (r *Register) Name(n Named) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if n.Number <= r.named[n.Model].Number {
+	before, known := r.named[n.Model]
+	if n.Number <= before.Number {
 		return false
 	}
+	if known {
+		earlier := append(r.earlier[n.Model], before)
+		r.earlier[n.Model] = earlier[max(0, len(earlier)-keptNamed):]
+	}
 	r.named[n.Model] = n
 	r.revision++
 	return true
@@ -62,6 +72,25 @@
 	return r.named[model]
 }
 
+// NamedBy returns the highest version of a model that was named by a time, 0 if none was.
+// A version may be named before the one before it is in place, and each is due from its
+// own naming on.
+func (r *Register) NamedBy(model coltsidentity.Model, by time.Time) Number {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	newest, known := r.named[model]
+	if known && !newest.At.After(by) {
+		return newest.Number
+	}
+	number := Number(0)
+	for _, n := range r.earlier[model] {
+		if !n.At.After(by) {
+			number = max(number, n.Number)
+		}
+	}
+	return number
+}
+
 // All returns the named versions in the order of their models, and the revision
 // that they make up.
 func (r *Register) All() ([]Named, uint64) {
--- a/coltsweights/weights_rollout.go
+++ b/coltsweights/weights_rollout.go
@@ -21,7 +21,7 @@
 
 const (
 	// OrderTimeout bounds an order or a question from its sending to its answer.
-	OrderTimeout = time.Second
+	OrderTimeout = 500 * time.Millisecond
 	// loadTime is the pause between an order and the first question after it, about
 	// what a load takes; askEvery is the pause between the questions that follow.
 	loadTime = 300 * time.Millisecond
@@ -140,13 +140,10 @@
 	for _, runner := range behind {
 		w, known := r.works[runner.ID]
 		if !known {
-			if len(r.works) >= AtOnce(sizes) {
-				continue
-			}
 			w = &work{}
 			r.works[runner.ID] = w
 		}
-		if w.waiting || now.Before(w.nextAt) {
+		if w.waiting || now.Before(w.nextAt) || !w.holdsPlace() && r.places() >= AtOnce(sizes) {
 			continue
 		}
 		w.waiting = true
@@ -161,6 +158,21 @@
 	return tasks
 }
 
+// holdsPlace says whether a runner counts as one of those that load at once: it is being
+// asked or ordered, or is loading, and not left alone after a failure.
+func (w *work) holdsPlace() bool { return w.waiting || w.phase != phaseUnknown }
+
+// places returns the number of runners that count as loading.
+func (r *Rollout) places() int {
+	n := 0
+	for _, w := range r.works {
+		if w.holdsPlace() {
+			n++
+		}
+	}
+	return n
+}
+
 // AtOnce returns how many of a number of runners load at once.
 func AtOnce(runners int) int {
 	return max(1, (runners+loadShare-1)/loadShare)
@@ -204,9 +216,8 @@
 	}
 	w.waiting = false
 	if err != nil {
+		w.phase = phaseUnknown
 		w.nextAt = now.Add(retryAfter)
-		// One that can't be asked makes room for another.
-		delete(r.works, t.Runner.ID)
 		return false
 	}
 	w.orders = s.Orders
--- a/coltsweights/weights_test.go
+++ b/coltsweights/weights_test.go
@@ -72,6 +72,16 @@
 		stand(r, asks, Standing{Has: has(1), Loading: true}, now.Add(loadTime))
 		assertTasks(t, r.Plan(runners(1), want, 1, 1, now.Add(loadTime+askEvery)), 1, TaskAsk)
 	})
+	t.Run("one that does not answer an order leaves its place to another meanwhile", func(t *testing.T) {
+		r := NewRollout()
+		stand(r, r.Plan(runners(2), want, 2, 1, now), Standing{Has: has(1)}, now)
+		order := r.Plan(runners(2), want, 2, 1, now)
+		assertTasks(t, order, 1, TaskOrder)
+		r.Ordered(order[0], errors.New("no answer"), now)
+		next := r.Plan(runners(2), want, 2, 1, now)
+		assertTasks(t, next, 1, TaskAsk)
+		assert.Equal(t, next[0].Runner.ID, coltsidentity.Upstream("r01"))
+	})
 	t.Run("an order without an answer is looked into before another", func(t *testing.T) {
 		r := NewRollout()
 		stand(r, r.Plan(runners(1), want, 1, 1, now), Standing{Has: has(1)}, now)
@@ -103,4 +113,15 @@
 		assert.Assert(t, !r.Name(Named{Weights: Weights{Model: "m", Number: 1}}))
 		assert.Equal(t, r.Wanted("m").Number, Number(2))
 	})
+	t.Run("each version is due from its own naming on", func(t *testing.T) {
+		r := NewRegister()
+		for i := range 4 {
+			r.Name(Named{Weights: Weights{Model: "m", Number: Number(i + 2)}, At: now.Add(time.Duration(i) * time.Second)})
+		}
+		assert.Equal(t, r.NamedBy("m", now.Add(-1)), Number(0))
+		assert.Equal(t, r.NamedBy("m", now), Number(2))
+		assert.Equal(t, r.NamedBy("m", now.Add(2500*time.Millisecond)), Number(4))
+		assert.Equal(t, r.NamedBy("m", now.Add(time.Minute)), Number(5))
+		assert.Equal(t, r.NamedBy("other", now), Number(0))
+	})
 }
