Let parts of a store give way by their last use, and put out no voter too soon.

Cause, stores: full stores dropped what was saved first, which are the heads of prompts that every request needs: without its first part nothing that is fetched behind it counts. From 18 s on most long prompts were read again whole though they were fetched. Change: gateways tell the leader what they fetch; what was not used for 10 s gives way, the longest unused first.

Change: a successor at a voter's own address takes no other voter's place, and a voter that may come back is put out only when the rest can bear one more loss; until then a spare gets a vote beside it.

--- a/coltscontrol/registry_loop.go
+++ b/coltscontrol/registry_loop.go
@@ -132,6 +132,9 @@
 		s.c.roster.Heartbeat(member, s.c.cfg.Now())
 		s.c.loads.Report(member.ID, coltswire.DecodeLoads(r.GetLoads()), s.c.cfg.Now())
 		s.takeSuspects(r)
+		for _, fetch := range coltswire.DecodeStoreChanges(r.GetFetches()) {
+			s.c.catalogue.Use(fetch.Store, fetch.Key, s.c.cfg.Now())
+		}
 	}
 	timer := time.NewTimer(time.Duration(r.GetWaitNanos()))
 	defer timer.Stop()
--- a/coltsgateway/control_watch.go
+++ b/coltsgateway/control_watch.go
@@ -135,6 +135,7 @@
 		StoreRevision:    w.stores,
 		Loads:            coltswire.EncodeLoads(w.g.balancer.Loads()),
 		Suspects:         coltswire.EncodeSuspects(w.untold()),
+		Fetches:          coltswire.EncodeStoreChanges(w.g.stores.TakeFetches()),
 		WaitNanos:        int64(watchWait),
 	})
 }
--- a/coltsmembership/membership_group.go
+++ b/coltsmembership/membership_group.go
@@ -103,7 +103,7 @@
 
 // Next returns the change that is due.
 func (g Group) Next(members []Standing, now time.Time) Change {
-	for _, rule := range []func([]Standing, time.Time) Change{g.putOutReplaced, g.promote, g.putOutSilent, g.forget} {
+	for _, rule := range []func([]Standing, time.Time) Change{g.putOutReplaced, g.promote, g.putOutSilent, g.grow, g.forget} {
 		if change := rule(members, now); change.Step != StepNone {
 			return change
 		}
@@ -139,20 +139,52 @@
 	return Change{}
 }
 
-// putOutSilent removes a voter that has been silent for long if another instance is
-// ready for its place.
+// putOutSilent removes a voter that has been silent for long if another instance is ready
+// for its place, or has taken it. It may come back, so it is kept until the rest can bear
+// one more loss without it.
 func (g Group) putOutSilent(members []Standing, now time.Time) Change {
-	if !slices.ContainsFunc(members, func(m Standing) bool { return g.isReady(m, now) }) {
+	if g.spare(members, now) == nil && count(members, isVoter) <= g.Voters {
 		return Change{}
 	}
 	for _, m := range members {
-		if m.Voter && m.ID != g.Self && now.Sub(m.HeardAt) >= replaceAfter {
-			return g.remove(m, members, now, "it is silent and another instance is ready for its place")
+		if !g.isLost(m, now) {
+			continue
+		}
+		left, alive := g.without(m, members, now)
+		if alive > left/2+1 {
+			return Change{Step: StepRemove, Member: m.ID, Reason: "it is silent and another instance has or can have its place"}
 		}
 	}
 	return Change{}
 }
 
+// grow gives a vote to a spare instance where silent voters can't be put out yet.
+func (g Group) grow(members []Standing, now time.Time) Change {
+	spare := g.spare(members, now)
+	lost := count(members, func(m Standing) bool { return g.isLost(m, now) })
+	if spare == nil || count(members, isVoter) >= g.Voters+lost {
+		return Change{}
+	}
+	return Change{Step: StepPromote, Member: spare.ID, Reason: "voters are silent that can't be put out yet"}
+}
+
+// isLost says whether a voter has been silent for long.
+func (g Group) isLost(m Standing, now time.Time) bool {
+	return m.Voter && m.ID != g.Self && now.Sub(m.HeardAt) >= replaceAfter
+}
+
+// spare returns an instance that is ready for a vote and is not the successor of a voter
+// at its own address; nil if there is none.
+func (g Group) spare(members []Standing, now time.Time) *Standing {
+	for i, m := range members {
+		succeeds := slices.ContainsFunc(members, func(o Standing) bool { return o.Voter && sameAddr(o.ID, m.ID) })
+		if g.isReady(m, now) && !succeeds {
+			return &members[i]
+		}
+	}
+	return nil
+}
+
 // forget removes one without a vote that has been silent for long.
 func (g Group) forget(members []Standing, now time.Time) Change {
 	for _, m := range members {
@@ -165,14 +197,19 @@
 
 // remove removes a voter unless the rest could then decide nothing.
 func (g Group) remove(m Standing, members []Standing, now time.Time, reason string) Change {
-	left := count(members, isVoter) - 1
-	alive := count(members, func(o Standing) bool { return o.Voter && o.ID != m.ID && g.alive(o, now) })
+	left, alive := g.without(m, members, now)
 	if alive < left/2+1 {
 		return Change{}
 	}
 	return Change{Step: StepRemove, Member: m.ID, Reason: reason}
 }
 
+// without returns how many voters there are without one, and how many of them are alive.
+func (g Group) without(m Standing, members []Standing, now time.Time) (left, alive int) {
+	alive = count(members, func(o Standing) bool { return o.Voter && o.ID != m.ID && g.alive(o, now) })
+	return count(members, isVoter) - 1, alive
+}
+
 func (g Group) alive(m Standing, now time.Time) bool {
 	return m.ID == g.Self || now.Sub(m.HeardAt) < silentAfter
 }
--- a/coltsmembership/membership_group_test.go
+++ b/coltsmembership/membership_group_test.go
@@ -66,6 +66,16 @@
 		members := append(five(5*time.Second, "10.0.0.2:7/b"), standing("10.0.0.9:7/n", false, 0))
 		assertChange(t, members, StepRemove, "10.0.0.2:7/b")
 	})
+	t.Run("a successor at another's address does not cost a paused voter its place", func(t *testing.T) {
+		members := append(five(5*time.Second, "10.0.0.3:7/c"), standing("10.0.0.2:7/n", false, 0))
+		assertChange(t, members, StepNone, "")
+	})
+	t.Run("of two that are gone none is put out before a successor has a vote", func(t *testing.T) {
+		members := append(five(5*time.Second, "10.0.0.2:7/b", "10.0.0.3:7/c"), standing("10.0.0.9:7/n", false, 0))
+		assertChange(t, members, StepPromote, "10.0.0.9:7/n")
+		members[5].Voter = true
+		assertChange(t, members, StepRemove, "10.0.0.2:7/b")
+	})
 	t.Run("no voter is put out if the rest could not decide", func(t *testing.T) {
 		silent := []string{"10.0.0.2:7/b", "10.0.0.3:7/c", "10.0.0.4:7/d"}
 		assertChange(t, append(five(5*time.Second, silent...), standing("10.0.0.2:7/n", false, 0)), StepNone, "")
--- a/coltsstore/store_catalogue.go
+++ b/coltsstore/store_catalogue.go
@@ -27,6 +27,9 @@
 	// roomShare the share down to which.
 	fullShare = 0.92
 	roomShare = 0.85
+	// idleTime is how long a part must not have been fetched before it gives way: one
+	// that is asked for again within that time is worth its room.
+	idleTime = 10 * time.Second
 	// RetireTime is how long a retired part is kept before it is freed: followers
 	// hear of it within three seconds or stop fetching, a request may wait ten
 	// seconds at its runner, and a transfer takes at the most two.
@@ -49,8 +52,9 @@
 
 // item is a part in a store.
 type item struct {
-	tokens  int
-	savedAt time.Time
+	tokens int
+	// usedAt is when it was saved or last fetched.
+	usedAt time.Time
 	// freeAt is when a retired part is freed; zero while it may be fetched.
 	freeAt time.Time
 }
@@ -114,12 +118,23 @@
 		return
 	}
 	s.used += tokens - known.tokens
-	s.items[key] = item{tokens: tokens, savedAt: now, freeAt: known.freeAt}
+	s.items[key] = item{tokens: tokens, usedAt: now, freeAt: known.freeAt}
 	if known.freeAt.IsZero() {
 		c.noteLocked(Change{Store: store, Key: key, Tokens: tokens})
 	}
 }
 
+// Use takes in that a part was fetched.
+func (c *Catalogue) Use(store coltsidentity.Service, key Key, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.shelfLocked(store)
+	if it, known := s.items[key]; known {
+		it.usedAt = now
+		s.items[key] = it
+	}
+}
+
 // Remove takes in that a store holds a part no longer.
 func (c *Catalogue) Remove(store coltsidentity.Service, key Key) {
 	c.mu.Lock()
@@ -145,7 +160,7 @@
 }
 
 // Retire chooses the parts that give way: all whose scope is not wanted any more, and
-// in a store that is full those that were saved first. They may not be fetched from now
+// in a store that is full those that were not used for the longest time. They may not be fetched from now
 // on and are freed after RetireTime.
 func (c *Catalogue) Retire(store coltsidentity.Service, wanted func(scope string) bool, now time.Time) int {
 	c.mu.Lock()
@@ -162,7 +177,7 @@
 			c.retireLocked(store, s, key, now)
 			held -= it.tokens
 			retired++
-		default:
+		case now.Sub(it.usedAt) >= idleTime:
 			keys = append(keys, key)
 		}
 	}
@@ -170,7 +185,7 @@
 		return retired
 	}
 	slices.SortFunc(keys, func(a, b Key) int {
-		if order := s.items[a].savedAt.Compare(s.items[b].savedAt); order != 0 {
+		if order := s.items[a].usedAt.Compare(s.items[b].usedAt); order != 0 {
 			return order
 		}
 		return cmp.Compare(a.Part, b.Part)
--- a/coltsstore/store_directory.go
+++ b/coltsstore/store_directory.go
@@ -37,6 +37,7 @@
 	// confirmedUntil is until when the copy counts.
 	confirmedUntil atomic.Pointer[time.Time]
 	used           usedTokens
+	fetches        fetchLog
 }
 
 type directoryShard struct {
@@ -193,6 +194,7 @@
 		}
 		if store, tokens, held := d.find(part.Key); held {
 			plan.Fetch[i] = Move{Store: store, Tokens: tokens}
+			d.fetches.add(Change{Store: store, Key: part.Key})
 			continue
 		}
 		to, room := d.home(part, stores)
@@ -217,6 +219,33 @@
 	return "", false
 }
 
+// mostFetches bounds the fetches that wait to be told.
+const mostFetches = 512
+
+// fetchLog holds the fetches that the catalogue's owner was not told of.
+type fetchLog struct {
+	mu      sync.Mutex
+	fetches []Change
+}
+
+func (l *fetchLog) add(c Change) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.fetches) < mostFetches {
+		l.fetches = append(l.fetches, c)
+	}
+}
+
+// TakeFetches returns what was fetched since the last call. What its owner is not told of
+// only seems less used.
+func (d *Directory) TakeFetches() []Change {
+	d.fetches.mu.Lock()
+	defer d.fetches.mu.Unlock()
+	fetches := d.fetches.fetches
+	d.fetches.fetches = nil
+	return fetches
+}
+
 // Held returns how many tokens of a prompt's parts can be fetched.
 func (d *Directory) Held(parts []Wanted, now time.Time) int {
 	if !d.confirmed(now) {
