--- a/coltsbalance/balancer.go
+++ b/coltsbalance/balancer.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"coltsfootstall/coltsidentity"
@@ -19,6 +20,7 @@
 // Balancer holds the upstreams. It may be used concurrently.
 type Balancer struct {
 	cfg    Config
+	turns  atomic.Uint64
 	shards [coltsshard.Count]balancerShard
 }
 
@@ -27,8 +29,24 @@
 	upstreams map[coltsidentity.Upstream]*upstream
 }
 
+// Policy says how an upstream is chosen.
+type Policy string
+
+// The policies. The second one is kept to compare with.
+const (
+	// PolicyLeastLoaded takes the least loaded of a few.
+	PolicyLeastLoaded Policy = "least-loaded"
+	// PolicyRoundRobin takes one after another and lets nobody wait.
+	PolicyRoundRobin Policy = "round-robin"
+)
+
+// Policies lists the policies.
+func Policies() []string { return []string{string(PolicyLeastLoaded), string(PolicyRoundRobin)} }
+
 // Config says how a balancer chooses.
 type Config struct {
+	// Policy is how an upstream is chosen; empty for the least loaded.
+	Policy Policy
 	// Random returns a number from 0 to n-1; nil for a random one.
 	Random func(n int) int
 }
@@ -100,6 +118,9 @@
 // a NoUpstreamError if the service has none, and a FullError if none has room.
 func (b *Balancer) Choose(d Demand, now time.Time) (Choice, error) {
 	candidates, known := b.candidates(d, now)
+	if b.cfg.Policy == PolicyRoundRobin {
+		d.Limit = 0
+	}
 	for len(candidates) > 0 {
 		i, home := b.pick(d, candidates)
 		if full := fullness(d, candidates, i); d.Limit > 0 && full > d.Limit {
@@ -151,6 +172,9 @@
 // may be loaded above the others by its bonus. All instances hear of each other's loads
 // a moment late; if each took the least loaded one of all, they would all take the same.
 func (b *Balancer) pick(d Demand, candidates []candidate) (int, bool) {
+	if b.cfg.Policy == PolicyRoundRobin {
+		return int(b.turns.Add(1) % uint64(len(candidates))), false
+	}
 	home := -1
 	if len(d.Affinity) > 0 {
 		for i, c := range candidates {
--- a/coltsbalance/balancer_test.go
+++ b/coltsbalance/balancer_test.go
@@ -99,6 +99,20 @@
 	})
 }
 
+func TestRoundRobin(t *testing.T) {
+	b := New(Config{Policy: PolicyRoundRobin})
+	for _, id := range []string{"r0", "r1", "r2"} {
+		b.Update(entry(id, coltsregistry.StateReady, 1))
+	}
+	counts := map[coltsidentity.Upstream]int{}
+	for range 30 {
+		counts[choose(t, b, Demand{Capacity: 1, Limit: 0.5}).Upstream.ID]++
+	}
+	t.Run("nobody waits however loaded all are", func(t *testing.T) {
+		assert.Equal(t, counts["r0"]+counts["r1"]+counts["r2"], 30)
+	})
+}
+
 func TestUpdate(t *testing.T) {
 	t.Run("a draining upstream gets nothing", func(t *testing.T) {
 		b := newBalancer(1)
--- a/coltsgateway/forward_request.go
+++ b/coltsgateway/forward_request.go
@@ -286,7 +286,7 @@
 // there.
 func (f *forwarding) planMoves(s *Sending) {
 	wanted := f.wanted(s.CacheScope)
-	if len(wanted) == 0 {
+	if len(wanted) == 0 || !f.g.settings.KeepCache {
 		return
 	}
 	f.plan = f.g.stores.Plan(wanted, f.table.Stores(), f.g.now())
--- a/coltsgateway/gateway.go
+++ b/coltsgateway/gateway.go
@@ -104,7 +104,7 @@
 		started:  cfg.Now(),
 		routes:   coltsroute.NewRegister(),
 		weights:  coltsweights.NewRegister(),
-		balancer: coltsbalance.New(coltsbalance.Config{}),
+		balancer: coltsbalance.New(coltsbalance.Config{Policy: coltsbalance.Policy(cfg.Settings.Gateway.RoutingPolicy)}),
 		suspects: coltsattempt.NewQuarantine(coltsattempt.QuarantineConfig{Crashes: crashesToRefuse}),
 		stores:   coltsstore.NewDirectory(),
 		queue:    coltsbalance.NewQueue(),
--- a/coltssettings/settings.go
+++ b/coltssettings/settings.go
@@ -78,6 +78,9 @@
 	Seeds        []netip.AddrPort `json:"seeds" unit:"addresses" usage:"hosts of control instances through which the others are found"`
 	ControlPort  int              `json:"control-port" unit:"port" min:"1" usage:"port of the control instances for other instances"`
 
+	RoutingPolicy string `json:"routing-policy" unit:"policy" usage:"how an upstream is chosen: least-loaded, or round-robin to compare with"`
+	KeepCache     bool   `json:"keep-cache" unit:"" usage:"save parts of prompts in stores and fetch them; false reads them always"`
+
 	RetryRatio  float64       `json:"retry-ratio" unit:"share" usage:"attempts after the first one, as a share of a service's requests, that all gateways together may make"`
 	RetrySlack  int           `json:"retry-slack" unit:"attempts" min:"0" usage:"attempts after the first one that are allowed besides that share, in all gateways together"`
 	WeightsDue  time.Duration `json:"weights-due" unit:"duration" min:"0s" usage:"time after the naming of a weight version from which requests are sent only to runners that have it; 0s for never"`
@@ -115,10 +118,14 @@
 			OperatorAddr: netip.MustParseAddrPort("127.0.0.1:8102"),
 			Seeds:        []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:8090")},
 			ControlPort:  8090,
-			RetryRatio:   0.2,
-			RetrySlack:   50,
-			RetryWindow:  10 * time.Second,
-			Grace:        8 * time.Second,
+
+			RoutingPolicy: "least-loaded",
+			KeepCache:     true,
+
+			RetryRatio:  0.2,
+			RetrySlack:  50,
+			RetryWindow: 10 * time.Second,
+			Grace:       8 * time.Second,
 		},
 		Control: Control{
 			Addr:          netip.MustParseAddrPort("127.0.0.1:8090"),
--- a/coltssettings/settings_table.go
+++ b/coltssettings/settings_table.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"coltsfootstall/coltsbalance"
 	"coltsfootstall/coltsjsonc"
 	"coltsfootstall/coltsrouting"
 )
@@ -138,6 +139,13 @@
 		c.add("entry/routing-policy", "is %q, expected one of %v%s", s.Entry.RoutingPolicy,
 			coltsrouting.Names(), coltsjsonc.Suggest(s.Entry.RoutingPolicy, coltsrouting.Names()))
 	}
+	if !slices.Contains(coltsbalance.Policies(), s.Gateway.RoutingPolicy) {
+		c.add("gateway/routing-policy", "is %q, expected one of %v%s", s.Gateway.RoutingPolicy,
+			coltsbalance.Policies(), coltsjsonc.Suggest(s.Gateway.RoutingPolicy, coltsbalance.Policies()))
+	}
+	if len(s.Gateway.Seeds) == 0 {
+		c.add("gateway/seeds", "is empty, expected at least one address")
+	}
 	if len(s.Entry.Controls) == 0 {
 		c.add("entry/control-addresses", "is empty, expected at least one address")
 	}
