--- a/coltsbalance/balancer.go
+++ b/coltsbalance/balancer.go
@@ -299,19 +299,3 @@
 		s.mu.Unlock()
 	}
 }
-
-// Usable returns the number of a service's upstreams that take new work.
-func (b *Balancer) Usable(service coltsidentity.Service, now time.Time) int {
-	n := 0
-	for i := range b.shards {
-		s := &b.shards[i]
-		s.mu.Lock()
-		for _, u := range s.upstreams {
-			if u.record.Service == service && u.usable(now) {
-				n++
-			}
-		}
-		s.mu.Unlock()
-	}
-	return n
-}
--- a/coltsgateway/forward_report.go
+++ b/coltsgateway/forward_report.go
@@ -8,6 +8,7 @@
 	"math"
 
 	"coltsfootstall/coltsattempt"
+	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsmetric"
 )
 
@@ -55,3 +56,20 @@
 	}
 	f.g.log.Info("A request ended.", fields)
 }
+
+// logFields are what every line on the request has.
+func (f *forwarding) logFields(id string) coltslog.Fields {
+	now := f.g.now()
+	fields := coltslog.Fields{
+		"request": id, "control-age-ms": f.g.watcher.age(now).Milliseconds(),
+	}
+	if f.table != nil {
+		fields["routes"] = f.table.Table.Version
+	}
+	if f.life != nil {
+		fields["route"], fields["service"] = f.life.Route.Name, f.life.Service
+		fields["elapsed-ms"] = now.Sub(f.life.Arrived).Milliseconds()
+		fields["attempts"] = f.life.Attempts()
+	}
+	return fields
+}
--- a/coltsroute/route_index.go
+++ b/coltsroute/route_index.go
@@ -107,8 +107,3 @@
 	}
 	return ""
 }
-
-// Serves says whether a service is one of the route's targets.
-func (r Route) Serves(name coltsidentity.Service) bool {
-	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == name && t.Weight > 0 })
-}
--- a/coltsweights/weights_rollout.go
+++ b/coltsweights/weights_rollout.go
@@ -234,9 +234,3 @@
 	}
 	return false
 }
-
-// UnderWay says whether a runner is being brought to a version by an order.
-func (r *Rollout) UnderWay(id coltsidentity.Upstream) bool {
-	w, known := r.works[id]
-	return known && w.phase == phaseLoading
-}
--- a/coltsweights/weights_test.go
+++ b/coltsweights/weights_test.go
@@ -65,7 +65,6 @@
 		order := r.Plan(runners(1), want, 1, 1, now)
 		assertTasks(t, order, 1, TaskOrder)
 		r.Ordered(order[0], nil, now)
-		assert.Assert(t, r.UnderWay("r00"))
 		assertTasks(t, r.Plan(runners(1), want, 1, 1, now), 0, TaskAsk)
 		asks := r.Plan(runners(1), want, 1, 1, now.Add(loadTime))
 		assertTasks(t, asks, 1, TaskAsk)
