Let no report take an address from a process that was not born before.

Cause: TestHeartbeat failed in 6 of 12 runs of the package beside load: a forged report with a sound runner's address and birth took the address, and the runner counted as gone for good (503, no usable upstream); without load the gateway had not heard of it yet. Change: an address changes hands only to a process that was born later, or where births are not told. Ruled out: the gateway's order of updates (it did as it was told). Measured: TestReport with a forged report fails before and passes after.

--- a/coltsregistry/registry.go
+++ b/coltsregistry/registry.go
@@ -81,7 +81,7 @@
 func (r *Registry) Report(u Upstream, now time.Time) (bool, error) {
 	before, taken := r.claim(u)
 	if !taken {
-		return false, &StaleError{ID: u.ID, Reason: "a later process holds its address"}
+		return false, &StaleError{ID: u.ID, Reason: "another process holds its address"}
 	}
 	if before != "" && before != u.ID {
 		r.setState(before, StateGone, now)
@@ -126,14 +126,14 @@
 	return nil
 }
 
-// claim takes an upstream's address for it, unless a process that was born later
-// holds it, and returns who held it before.
+// claim takes an upstream's address for it, unless another process holds it that was not
+// born before, and returns who held it. Where births are not told, the newest report wins.
 func (r *Registry) claim(u Upstream) (coltsidentity.Upstream, bool) {
 	s := &r.holders[coltsshard.Of(u.Addr.String())]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h, held := s.holders[u.Addr]
-	if held && h.id != u.ID && u.Born.Before(h.born) {
+	if held && h.id != u.ID && !u.Born.After(h.born) && !h.born.IsZero() {
 		return h.id, false
 	}
 	s.holders[u.Addr] = holder{id: u.ID, born: u.Born}
--- a/coltsregistry/registry_test.go
+++ b/coltsregistry/registry_test.go
@@ -89,6 +89,8 @@
 	t.Run("an address belongs to who was born last", func(t *testing.T) {
 		r := newRegistry()
 		assertTaken(t, r, report("old", 0, 1, StateReady), true)
+		assertStale(t, r, report("forged", 0, 9, StateReady))
+		assertState(t, r, "old", StateReady)
 		assertTaken(t, r, report("new", 5, 1, StateReady), true)
 		assertState(t, r, "old", StateGone)
 		assertStale(t, r, report("old", 0, 2, StateReady))
