Read each route table once for its stores, and call the pause that exists.

Cause, found by reading the change: the leader decoded the whole route table four times a second to learn its stores; each request listed and sorted the stores twice; followers went through the registry for runners that only a leader may order; the gateway had a pause of its own beside coltsloop.Pause. Change: the table is read when its version changes, the index holds the stores in order, the lead is asked for first, the copy is gone. Behaviour stays as it is.

--- a/coltscontrol/stores_loop.go
+++ b/coltscontrol/stores_loop.go
@@ -72,8 +72,9 @@
 			cancel()
 		}
 	}()
+	var table storeTable
 	coltsloop.Every(ctx, storesPeriod, func() {
-		wanted := c.stores()
+		wanted := c.stores(&table)
 		for name, cancel := range followed {
 			if _, still := wanted[name]; !still {
 				cancel()
@@ -93,27 +94,34 @@
 	})
 }
 
-// stores returns the managed stores of the route table; none while another leads.
-func (c *Control) stores() map[coltsidentity.Service]coltsroute.Store {
+// storeTable is the managed stores of the route table that was read last.
+type storeTable struct {
+	version coltsroute.Version
+	stores  map[coltsidentity.Service]coltsroute.Store
+}
+
+// stores returns the managed stores of the route table; none while another leads. A table
+// is read once.
+func (c *Control) stores(t *storeTable) map[coltsidentity.Service]coltsroute.Store {
 	if !c.driver.view.Load().leads {
 		return nil
 	}
 	text := c.routes.Load()
-	if text.Version == 0 {
-		return nil
+	if text.Version == t.version {
+		return t.stores
 	}
+	*t = storeTable{version: text.Version, stores: map[coltsidentity.Service]coltsroute.Store{}}
 	table, err := c.cfg.DecodeTable(text.Source)
 	if err != nil {
 		c.log.Error("The route table can't be read.", coltslog.Fields{"version": text.Version, "error": err})
 		return nil
 	}
-	stores := map[coltsidentity.Service]coltsroute.Store{}
 	for _, s := range table.Services {
 		if s.Store != nil && s.Store.Managed {
-			stores[s.Name] = *s.Store
+			t.stores[s.Name] = *s.Store
 		}
 	}
-	return stores
+	return t.stores
 }
 
 // storeFollower follows one store.
--- a/coltscontrol/weights_loop.go
+++ b/coltscontrol/weights_loop.go
@@ -73,9 +73,12 @@
 // plan begins the tasks that are due and returns when to look again.
 func (l *weightsLoop) plan(ctx context.Context) time.Duration {
 	v := l.c.driver.view.Load()
+	if !v.leads {
+		return idlePeriod
+	}
 	now := l.c.cfg.Now()
 	behind, sizes := l.behind()
-	if !v.leads || len(behind) == 0 {
+	if len(behind) == 0 {
 		return idlePeriod
 	}
 	endBy := now.Add(coltsweights.OrderTimeout)
--- a/coltsgateway/control_watch.go
+++ b/coltsgateway/control_watch.go
@@ -15,6 +15,7 @@
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslink"
 	"coltsfootstall/coltslog"
+	"coltsfootstall/coltsloop"
 	"coltsfootstall/coltsmembership"
 	"coltsfootstall/coltsmetric"
 	"coltsfootstall/coltswire"
@@ -83,7 +84,7 @@
 			w.lost(addr, err)
 			w.at++
 			if w.at%len(addrs) == 0 {
-				w.pause(ctx)
+				coltsloop.Pause(ctx, watchPause)
 			}
 			continue
 		}
@@ -91,15 +92,6 @@
 	}
 }
 
-func (w *controlWatcher) pause(ctx context.Context) {
-	timer := time.NewTimer(watchPause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // addrs returns the control instances to ask, in order.
 func (w *controlWatcher) addrs() []netip.AddrPort {
 	addrs := slices.Clone(w.known)
--- a/coltsroute/route_index.go
+++ b/coltsroute/route_index.go
@@ -19,6 +19,8 @@
 	byHost   map[string][]Route
 	byKey    map[string]Organisation
 	services map[coltsidentity.Service]Service
+	// stores are the kept-cache stores in the order of their names.
+	stores []Service
 }
 
 // NewIndex prepares a valid table.
@@ -43,7 +45,11 @@
 	}
 	for _, s := range t.Services {
 		ix.services[s.Name] = s
+		if s.Store != nil {
+			ix.stores = append(ix.stores, s)
+		}
 	}
+	slices.SortFunc(ix.stores, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
 	return ix
 }
 
@@ -73,17 +79,9 @@
 	return s, known
 }
 
-// Stores returns the kept-cache stores in the order of their names.
-func (ix *Index) Stores() []Service {
-	var stores []Service
-	for _, s := range ix.Table.Services {
-		if s.Store != nil {
-			stores = append(stores, s)
-		}
-	}
-	slices.SortFunc(stores, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
-	return stores
-}
+// Stores returns the kept-cache stores in the order of their names; the list must not
+// be changed.
+func (ix *Index) Stores() []Service { return ix.stores }
 
 // Choose returns the service of a request: by the targets' weights, and the same
 // one whenever the identity is the same.
