Go back to the leader soon after it refused a question.

Cause: after a restart of the whole system every gateway asked the later leader before it was elected, was refused, and then followed another instance for three seconds, as for a leader behind a cut link. Ruled out: a late election (0.6 s after the start), a slow catalogue (all stores were listed 0.16 s after the election). Change: an instance is avoided until a deadline: 200 ms after a refusal, 3 s after a question that timed out.

--- a/coltsgateway/control_watch.go
+++ b/coltsgateway/control_watch.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslink"
@@ -31,9 +33,13 @@
 	watchTimeout = 900 * time.Millisecond
 	// watchPause is the pause after every known control instance has failed.
 	watchPause = 100 * time.Millisecond
-	// avoidTime is how long a leader that did not answer is not preferred: cut links
-	// heal within seconds, and the others answer meanwhile.
-	avoidTime = 3 * time.Second
+	// silentAvoid is how long a leader that let a question time out is not preferred:
+	// cut links heal within seconds, and the others answer meanwhile.
+	silentAvoid = 3 * time.Second
+	// refusedAvoid is how long a leader is not preferred that refused a question, as an
+	// instance does that is starting or being elected: to ask it again costs one way
+	// there and back.
+	refusedAvoid = 200 * time.Millisecond
 	// forgetGrace is how long a registry must have been told of before the upstreams
 	// that it lacks are forgotten: several of their reports.
 	forgetGrace = 10 * time.Second
@@ -57,8 +63,8 @@
 	inTouch     bool
 	// told counts the crashes of each suspect that source was told of.
 	told map[coltsidentity.Digest]int
-	// failedAt is when an instance last failed to answer.
-	failedAt map[netip.AddrPort]time.Time
+	// avoidUntil is until when an instance that failed to answer is not preferred.
+	avoidUntil map[netip.AddrPort]time.Time
 	// heardAt is when control last answered.
 	heardAt atomic.Pointer[time.Time]
 }
@@ -69,8 +75,8 @@
 		clients: map[netip.AddrPort]coltspbconnect.ControlClient{},
 		heard:   map[coltsidentity.Upstream]bool{},
 
-		failedAt: map[netip.AddrPort]time.Time{},
-		told:     map[coltsidentity.Digest]int{},
+		avoidUntil: map[netip.AddrPort]time.Time{},
+		told:       map[coltsidentity.Digest]int{},
 	}
 }
 
@@ -135,7 +141,11 @@
 // lost takes in that a control instance did not answer.
 func (w *controlWatcher) lost(addr netip.AddrPort, err error) {
 	w.g.metrics.Add(coltsmetric.WatchFailures, 1)
-	w.failedAt[addr] = w.g.now()
+	avoid := refusedAvoid
+	if connect.CodeOf(err) == connect.CodeDeadlineExceeded {
+		avoid = silentAvoid
+	}
+	w.avoidUntil[addr] = w.g.now().Add(avoid)
 	clear(w.told)
 	if !w.inTouch {
 		return
@@ -289,7 +299,7 @@
 	}
 	w.known = addrs
 	w.at = max(0, slices.Index(addrs, asked))
-	if w.g.now().Sub(w.failedAt[addrs[0]]) > avoidTime {
+	if !w.g.now().Before(w.avoidUntil[addrs[0]]) {
 		w.at = 0
 	}
 }
