Let parts go to any store with room, and count retired parts as taking theirs.

Cause: a retired part left the gateways' count of its store at once, though it takes its room for 15 s until it is freed. Ruled out: events that come late (the lost saves stand in the store's own count). Change: a change of the catalogue tells the room that a part takes apart from what may be fetched; a part whose kind of store is full goes to the other kind; nothing has to give way while any store has room.

--- a/coltsstore/store_catalogue.go
+++ b/coltsstore/store_catalogue.go
@@ -48,6 +48,9 @@
 	Key   Key
 	// Tokens is what may be fetched, 0 for nothing.
 	Tokens int
+	// Room is what the part takes of the store: a part that may not be fetched any more
+	// takes its room until it is freed.
+	Room int
 }
 
 // item is a part in a store.
@@ -119,9 +122,16 @@
 	}
 	s.used += tokens - known.tokens
 	s.items[key] = item{tokens: tokens, usedAt: now, freeAt: known.freeAt}
-	if known.freeAt.IsZero() {
-		c.noteLocked(Change{Store: store, Key: key, Tokens: tokens})
+	c.noteLocked(changeOf(store, key, s.items[key]))
+}
+
+// changeOf tells how a part stands.
+func changeOf(store coltsidentity.Service, key Key, it item) Change {
+	change := Change{Store: store, Key: key, Room: it.tokens}
+	if it.freeAt.IsZero() {
+		change.Tokens = it.tokens
 	}
+	return change
 }
 
 // Use takes in that a part was fetched.
@@ -146,9 +156,7 @@
 	}
 	s.used -= known.tokens
 	delete(s.items, key)
-	if known.freeAt.IsZero() {
-		c.noteLocked(Change{Store: store, Key: key})
-	}
+	c.noteLocked(Change{Store: store, Key: key})
 }
 
 func (c *Catalogue) noteLocked(change Change) {
@@ -160,8 +168,8 @@
 }
 
 // Retire chooses the parts that give way: all whose scope is not wanted any more, and
-// in a store that is full those that were not used for the longest time. They may not be fetched from now
-// on and are freed after RetireTime.
+// where all stores are full those that were not used for the longest time. They may not
+// be fetched from now on and are freed after RetireTime.
 func (c *Catalogue) Retire(store coltsidentity.Service, wanted func(scope string) bool, now time.Time) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -181,7 +189,7 @@
 			keys = append(keys, key)
 		}
 	}
-	if s.capacity == 0 || float64(held) < fullShare*float64(s.capacity) {
+	if s.capacity == 0 || c.anyRoomLocked() {
 		return retired
 	}
 	slices.SortFunc(keys, func(a, b Key) int {
@@ -201,11 +209,21 @@
 	return retired
 }
 
+// anyRoomLocked says whether a store takes parts: while one does, nothing has to give way.
+func (c *Catalogue) anyRoomLocked() bool {
+	for _, s := range c.shelves {
+		if float64(s.used) < fullShare*float64(s.capacity) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Catalogue) retireLocked(store coltsidentity.Service, s *shelf, key Key, now time.Time) {
 	it := s.items[key]
 	it.freeAt = now.Add(RetireTime)
 	s.items[key] = it
-	c.noteLocked(Change{Store: store, Key: key})
+	c.noteLocked(changeOf(store, key, it))
 }
 
 // Due returns the retired parts of a store that may be freed now.
@@ -238,9 +256,7 @@
 	}
 	for store, s := range c.shelves {
 		for key, it := range s.items {
-			if it.freeAt.IsZero() {
-				changes = append(changes, Change{Store: store, Key: key, Tokens: it.tokens})
-			}
+			changes = append(changes, changeOf(store, key, it))
 		}
 	}
 	return changes, c.revision, true
--- a/coltsstore/store_directory.go
+++ b/coltsstore/store_directory.go
@@ -5,7 +5,6 @@
 // fetched by it.
 
 import (
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,10 +46,11 @@
 	saving map[Key]time.Time
 }
 
-// place is where a part is.
+// place is where a part is, how much of it may be fetched, and how much room it takes.
 type place struct {
 	store  coltsidentity.Service
 	tokens int
+	room   int
 }
 
 // usedTokens counts the tokens of each store.
@@ -89,11 +89,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.removeLocked(c.Key, c.Store)
+	if c.Room > 0 {
+		s.parts[c.Key] = append(s.parts[c.Key], place{store: c.Store, tokens: c.Tokens, room: c.Room})
+	}
 	if c.Tokens > 0 {
-		s.parts[c.Key] = append(s.parts[c.Key], place{store: c.Store, tokens: c.Tokens})
 		delete(s.saving, c.Key)
 	}
-	d.used.add(c.Store, c.Tokens-before)
+	d.used.add(c.Store, c.Room-before)
 }
 
 func (u *usedTokens) add(store coltsidentity.Service, tokens int) {
@@ -108,7 +110,7 @@
 	return u.used[store]
 }
 
-// removeLocked removes a part's place in a store and returns its tokens.
+// removeLocked removes a part's place in a store and returns the room that it took.
 func (s *directoryShard) removeLocked(key Key, store coltsidentity.Service) int {
 	places := s.parts[key]
 	for i, p := range places {
@@ -120,7 +122,7 @@
 		} else {
 			s.parts[key] = append(places[:i:i], places[i+1:]...)
 		}
-		return p.tokens
+		return p.room
 	}
 	return 0
 }
@@ -137,7 +139,7 @@
 	return until != nil && now.Before(*until)
 }
 
-// Len returns the number of parts that can be fetched.
+// Len returns the number of parts that the stores hold.
 func (d *Directory) Len() int {
 	n := 0
 	for i := range d.shards {
@@ -197,28 +199,13 @@
 			d.fetches.add(Change{Store: store, Key: part.Key})
 			continue
 		}
-		to, room := d.home(part, stores)
-		if !room && i == 0 {
-			to, room = d.anyRoom(part, stores)
-		}
-		if room && d.beginSave(part.Key, now) {
+		if to, room := d.home(part, stores); room && d.beginSave(part.Key, now) {
 			plan.Save[i] = Move{Store: to, Tokens: part.Tokens}
 		}
 	}
 	return plan
 }
 
-// anyRoom returns a store with room for a part, whatever its kind. The first part of a
-// prompt goes there if it must: without it nothing that follows counts.
-func (d *Directory) anyRoom(part Wanted, stores []coltsroute.Service) (coltsidentity.Service, bool) {
-	for _, s := range stores {
-		if d.hasRoom(s, part.Tokens) {
-			return s.Name, true
-		}
-	}
-	return "", false
-}
-
 // mostFetches bounds the fetches that wait to be told.
 const mostFetches = 512
 
@@ -280,11 +267,12 @@
 	s := d.shard(key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	places := s.parts[key]
-	if len(places) == 0 {
-		return "", 0, false
+	for _, p := range s.parts[key] {
+		if p.tokens > 0 {
+			return p.store, p.tokens, true
+		}
 	}
-	return places[0].store, places[0].tokens, true
+	return "", 0, false
 }
 
 // beginSave says whether this instance should have a part saved, and counts it as being
@@ -300,15 +288,27 @@
 	return true
 }
 
-// home returns the store that a part belongs into, by its name alone among those of the
-// kind that fits its size and have room. A slow store is spared the small parts: the
-// wait before each transfer would cost it more than the bytes. Where all stores are of
-// one kind, every part fits.
+// home returns the store that a part belongs into, by its name alone among those with
+// room: of the kind that fits its size, or else of the other kind. A slow store is spared
+// the small parts while it can be: the wait before each transfer costs more than their
+// bytes, but less than to read them again.
 func (d *Directory) home(part Wanted, stores []coltsroute.Service) (coltsidentity.Service, bool) {
-	fits := fitting(part, stores)
+	fits := fitting(part)
+	store, room := d.ranked(part, stores, fits)
+	if !room {
+		store, room = d.ranked(part, stores, func(s coltsroute.Service) bool { return !fits(s) })
+	}
+	return store, room
+}
+
+// ranked returns the store that a part's name leads to among those that are eligible and
+// have room.
+func (d *Directory) ranked(
+	part Wanted, stores []coltsroute.Service, eligible func(coltsroute.Service) bool,
+) (coltsidentity.Service, bool) {
 	best, rank, found := coltsidentity.Service(""), uint64(0), false
 	for _, s := range stores {
-		if !fits(s) || !d.hasRoom(s, part.Tokens) {
+		if !eligible(s) || !d.hasRoom(s, part.Tokens) {
 			continue
 		}
 		if r := coltsshard.Rank([]byte(part.Key.Part), s.Name); !found || r > rank {
@@ -319,17 +319,12 @@
 }
 
 // fitting says which stores fit a part's size.
-func fitting(part Wanted, stores []coltsroute.Service) func(coltsroute.Service) bool {
-	isFast := func(s coltsroute.Service) bool { return s.Store.Latency <= fastLatency }
-	isSlow := func(s coltsroute.Service) bool { return !isFast(s) }
-	kind := isSlow
-	if part.Tokens <= smallTokens {
-		kind = isFast
-	}
-	if !slices.ContainsFunc(stores, kind) {
-		return func(coltsroute.Service) bool { return true }
+func fitting(part Wanted) func(coltsroute.Service) bool {
+	isSmall := part.Tokens <= smallTokens
+	return func(s coltsroute.Service) bool {
+		isFast := s.Store.Latency <= fastLatency
+		return isFast == isSmall
 	}
-	return kind
 }
 
 // hasRoom says whether a part fits into a store, with what others save meanwhile.
--- a/coltswire/wire_store.go
+++ b/coltswire/wire_store.go
@@ -13,7 +13,7 @@
 func EncodeStoreChanges(changes []coltsstore.Change) []*coltspb.StoreChange {
 	return convert(changes, func(c coltsstore.Change) *coltspb.StoreChange {
 		return &coltspb.StoreChange{
-			Store: string(c.Store), Scope: c.Key.Scope, Part: c.Key.Part, Tokens: int64(c.Tokens),
+			Store: string(c.Store), Scope: c.Key.Scope, Part: c.Key.Part, Tokens: int64(c.Tokens), Room: int64(c.Room),
 		}
 	})
 }
@@ -25,6 +25,7 @@
 			Store:  coltsidentity.Service(m.GetStore()),
 			Key:    coltsstore.Key{Scope: m.GetScope(), Part: m.GetPart()},
 			Tokens: int(m.GetTokens()),
+			Room:   int(m.GetRoom()),
 		}
 	})
 }
