Send requests near the store that holds their parts.

Cause: the data centre that a request was drawn to was that of the store its largest part would be saved in now. Change: the store that holds the part decides; the bonus for its data centre is 0.25 of a runner's memory instead of 0.1, the bonus of the home 0.2.

--- a/coltsgateway/forward_demand.go
+++ b/coltsgateway/forward_demand.go
@@ -15,7 +15,7 @@
 
 // homeBonus is how much fuller than the emptiest runner the home of a prompt may be: less
 // than what reading the prompt's shared parts again would take of a runner's memory.
-const homeBonus = 0.1
+const homeBonus = 0.2
 
 const (
 	// longShare is the share of a runner's memory from which a prompt counts as long.
@@ -34,7 +34,7 @@
 // nearBonus is how much fuller than the emptiest runner one may be that is in the data
 // centre of the store with the prompt's parts: a transfer from elsewhere takes both links
 // twice as long.
-const nearBonus = 0.1
+const nearBonus = 0.25
 
 // demand is what the request asks of an upstream. Work is measured in tokens of memory
 // at model runners and in requests elsewhere.
@@ -54,23 +54,29 @@
 	}
 	if f.life.Route.Sticky {
 		d.Affinity, d.HomeBonus = []byte(f.life.Affinity()), homeBonus
-		d.Near, d.NearBonus = f.near(), nearBonus
-		d.Reading, d.ReadingBias = float64(f.reads()), readingBias
+		wanted := f.wanted(f.wantedScope())
+		d.Near, d.NearBonus = f.near(wanted), nearBonus
+		d.Reading, d.ReadingBias = float64(f.reads(wanted)), readingBias
 	}
 	return d
 }
 
-// reads returns how many tokens of the prompt a runner has to read that keeps none of it.
-func (f *forwarding) reads() int {
+// wantedScope returns what the prompt's parts may be shared within at a runner that has
+// the newest weights.
+func (f *forwarding) wantedScope() string {
 	number := max(firstWeights, f.g.weights.Wanted(f.life.Asked.Model).Number)
-	scope := coltsforward.CacheScope(number, f.life.Organisation)
-	return f.life.Asked.PromptTokens - f.g.stores.Held(f.wanted(scope), f.g.now())
+	return coltsforward.CacheScope(number, f.life.Organisation)
+}
+
+// reads returns how many tokens of the prompt a runner has to read that keeps none of it.
+func (f *forwarding) reads(wanted []coltsstore.Wanted) int {
+	return f.life.Asked.PromptTokens - f.g.stores.Held(wanted, f.g.now())
 }
 
-// near returns the data centre of the store that the prompt's parts are in, empty if they
-// are in none.
-func (f *forwarding) near() coltsidentity.DataCentre {
-	store := f.g.stores.Near(f.wanted(""), f.table.Stores())
+// near returns the data centre of the store that the largest of the prompt's parts is in or
+// belongs into, empty for none.
+func (f *forwarding) near(wanted []coltsstore.Wanted) coltsidentity.DataCentre {
+	store := f.g.stores.Near(wanted, f.table.Stores())
 	service, known := f.table.Service(store)
 	if !known || service.Store == nil {
 		return ""
--- a/coltsstore/store_directory.go
+++ b/coltsstore/store_directory.go
@@ -247,8 +247,8 @@
 	return held
 }
 
-// Near returns the store that the largest of a prompt's parts belongs into, whatever it
-// may be shared within; empty for none.
+// Near returns the store that the largest of a prompt's parts is fetched from, or would be
+// saved in; empty for none.
 func (d *Directory) Near(parts []Wanted, stores []coltsroute.Service) coltsidentity.Service {
 	if len(parts) == 0 {
 		return ""
@@ -259,6 +259,9 @@
 			largest = part
 		}
 	}
+	if store, _, held := d.find(largest.Key); held {
+		return store
+	}
 	store, _ := d.home(largest, stores)
 	return store
 }
--- a/coltsstore/store_test.go
+++ b/coltsstore/store_test.go
@@ -168,3 +168,13 @@
 		assert.Equal(t, d.Len(), 0)
 	})
 }
+
+func TestNear(t *testing.T) {
+	t.Run("a part is near the store that holds it, though that one is full", func(t *testing.T) {
+		d := directory(heldIn("slow", "a", 500), heldIn("slow", "x", 99_500))
+		assert.Equal(t, d.Near([]Wanted{{key("a"), 500}}, stores()), coltsidentity.Service("slow"))
+	})
+	t.Run("a part that none holds is near the store that it belongs into", func(t *testing.T) {
+		assert.Equal(t, directory().Near([]Wanted{{key("a"), 500}}, stores()), coltsidentity.Service("fast"))
+	})
+}
