--- a/coltsreplica/group_simulation_test.go
+++ b/coltsreplica/group_simulation_test.go
@@ -39,12 +39,18 @@
 	formed  bool
 	born    int
 	rebuilt int
-	// without are the rules that a schedule leaves out, to show that they are needed.
-	without string
 }
 
+// The rules that a schedule may leave out.
+const (
+	ruleIdentity = "a new identity after a loss"
+	ruleRound    = "a round before a read"
+	ruleSync     = "a sync before an answer"
+)
+
 func newGroupSimulation(t assert.TestingT, seed uint64, without string) *groupSimulation {
-	s := &groupSimulation{simulation: newSimulation(t, seed), without: without}
+	s := &groupSimulation{simulation: newSimulation(t, seed)}
+	s.without = without
 	s.clocksStop = true
 	s.changes = 0
 	s.faults = []int{1, 3, 8}[s.rng.IntN(3)]
@@ -107,7 +113,7 @@
 		s.addrs[machine] = netip.AddrPortFrom(s.addrs[machine].Addr().Next(), s.addrs[machine].Port()+1)
 	}
 	id := s.newIdentity(machine)
-	if s.without == "a new identity after a loss" {
+	if s.without == ruleIdentity {
 		id = old
 	}
 	s.machines[machine] = id
@@ -135,7 +141,7 @@
 
 // readFrom reads at a leader, behind a round with a quorum unless that is left out.
 func (s *groupSimulation) readFrom(m *member) {
-	if s.without != "a round before a read" {
+	if s.without != ruleRound {
 		s.read(m)
 		return
 	}
@@ -271,7 +277,7 @@
 }
 
 func TestRulesAreNeeded(t *testing.T) {
-	for _, rule := range []string{"a new identity after a loss", "a round before a read"} {
+	for _, rule := range []string{ruleIdentity, ruleRound, ruleSync} {
 		t.Run(rule, func(t *testing.T) { assertNeeded(t, rule) })
 	}
 }
--- a/coltsreplica/replica_simulation_test.go
+++ b/coltsreplica/replica_simulation_test.go
@@ -43,6 +43,11 @@
 	entries  []Entry
 }
 
+// clone returns a copy that later writes leave alone.
+func (d *disk) clone() disk {
+	return disk{hard: d.hard, snapshot: d.snapshot, entries: slices.Clone(d.entries)}
+}
+
 // persist takes in what an output asks to keep.
 func (d *disk) persist(out Output) {
 	if out.Install != nil {
@@ -108,7 +113,9 @@
 	faults int
 	// clocksStop says that clocks may stand still, in which case no lease is relied on.
 	clocksStop bool
-	token      uint64
+	// without is a rule that the schedule leaves out, to show that it is needed.
+	without string
+	token   uint64
 }
 
 func newSimulation(t assert.TestingT, seed uint64) *simulation {
@@ -250,7 +257,19 @@
 	if s.chance(2) {
 		return false
 	}
+	before := m.disk.clone()
 	m.disk.persist(out)
+	if s.without == ruleSync {
+		// The power goes after the answer, before what was written is on the disk.
+		defer func() {
+			if m.down || s.chance(2) {
+				m.disk, m.down = before, true
+			}
+		}()
+	} else if s.chance(1) {
+		s.loseWrites(&m.disk, before)
+		return false
+	}
 	if n := len(out.Entries); n > 0 {
 		m.replica.Persisted(out.Entries[n-1].Index, out.Entries[n-1].Term)
 	}
@@ -273,6 +292,18 @@
 	return true
 }
 
+// loseWrites is a loss of power while what an output asks for is written: the frame that
+// holds it is there whole, or was torn and is passed over, and a new snapshot is there
+// under its name or not.
+func (s *simulation) loseWrites(d *disk, before disk) {
+	written := d.clone()
+	*d = before
+	if s.rng.IntN(2) == 0 {
+		d.hard, d.entries = written.hard, written.entries
+		d.snapshot = written.snapshot
+	}
+}
+
 func (s *simulation) send(messages []Message) {
 	for _, message := range messages {
 		copies := 1
