--- a/coltscontrol/stores_loop.go
+++ b/coltscontrol/stores_loop.go
@@ -26,6 +26,9 @@
 	// long its answer may take.
 	eventsWait    = 800 * time.Millisecond
 	eventsTimeout = 1500 * time.Millisecond
+	// inspectPeriod is how often a store is listed for parts whose saving broke off: a
+	// list holds up the store's work for a moment.
+	inspectPeriod = 20 * time.Second
 	// storePause is the pause after a store did not answer.
 	storePause = 200 * time.Millisecond
 	// scopeGrace is how long after a weight version was named parts of the one before
@@ -50,6 +53,8 @@
 	Added []StorePart
 	// Gone are the parts that it holds no longer.
 	Gone []coltsstore.Key
+	// Partial are the parts of which it holds only the beginning; only a list has them.
+	Partial []coltsstore.Partial
 }
 
 // Stores speaks to stores of kept cache.
@@ -132,6 +137,8 @@
 	boot   uint64
 	next   uint64
 	listed bool
+	// inspectAt is when the store is next listed for parts that broke off.
+	inspectAt time.Time
 }
 
 // run follows the store until ctx ends.
@@ -143,6 +150,7 @@
 			continue
 		}
 		f.retire(ctx)
+		f.inspect(ctx)
 	}
 }
 
@@ -158,6 +166,8 @@
 		f.c.catalogue.Reset(f.name)
 		f.listed, f.boot, f.next = true, news.Boot, news.Next
 		f.take(news)
+		f.c.catalogue.BrokenOff(f.name, news.Partial, f.c.cfg.Now())
+		f.inspectAt = f.c.cfg.Now().Add(inspectPeriod)
 		f.c.log.Info("A store is listed.", coltslog.Fields{"store": f.name, "boot": news.Boot, "parts": len(news.Added)})
 		return nil
 	}
@@ -212,25 +222,49 @@
 			"store": f.name, "parts": n, "used": f.c.catalogue.Used(f.name), "capacity": f.store.CacheTokens,
 		})
 	}
-	due := f.c.catalogue.Due(f.name, now)
-	if len(due) == 0 || !f.c.driver.view.Load().leads {
+	f.free(ctx, f.c.catalogue.Due(f.name, now), "retired")
+}
+
+// inspect lists the store now and then and frees the parts whose saving broke off.
+func (f *storeFollower) inspect(ctx context.Context) {
+	now := f.c.cfg.Now()
+	if !f.listed || now.Before(f.inspectAt) || !f.c.driver.view.Load().leads {
+		return
+	}
+	f.inspectAt = now.Add(inspectPeriod)
+	listCtx, cancel := context.WithTimeout(ctx, eventsTimeout)
+	defer cancel()
+	news, err := f.c.cfg.Stores.List(listCtx, f.store.Addr)
+	if err != nil || news.Boot != f.boot {
+		f.c.log.Warn("A store could not be inspected.", coltslog.Fields{"store": f.name, "boot": news.Boot, "error": err})
+		return
+	}
+	f.free(ctx, f.c.catalogue.BrokenOff(f.name, news.Partial, now), "broken off")
+}
+
+// free frees parts for a reason, if a quorum confirms that this instance leads.
+func (f *storeFollower) free(ctx context.Context, keys []coltsstore.Key, reason string) {
+	if len(keys) == 0 || !f.c.driver.view.Load().leads {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, eventsTimeout)
 	defer cancel()
+	fields := coltslog.Fields{"store": f.name, "parts": len(keys), "reason": reason}
 	if err := f.c.driver.barrier(ctx); err != nil {
+		fields["error"] = err
+		f.c.log.Info("Parts of a store are not freed: the lead is not confirmed.", fields)
 		return
 	}
-	err := f.c.cfg.Stores.Free(ctx, f.store.Addr, f.boot, due)
-	if err != nil {
-		f.c.log.Warn("Parts of a store could not be freed.", coltslog.Fields{"store": f.name, "parts": len(due), "error": err})
+	if err := f.c.cfg.Stores.Free(ctx, f.store.Addr, f.boot, keys); err != nil {
+		fields["error"] = err
+		f.c.log.Warn("Parts of a store could not be freed.", fields)
 		f.listed = false
 		return
 	}
-	for _, key := range due {
+	for _, key := range keys {
 		f.c.catalogue.Remove(f.name, key)
 	}
-	f.c.log.Info("Parts of a store are freed.", coltslog.Fields{"store": f.name, "parts": len(due)})
+	f.c.log.Info("Parts of a store are freed.", fields)
 }
 
 // scopeWanted says which scopes may still be asked for: those of the named versions, and
--- a/coltsgateway/forward_demand.go
+++ b/coltsgateway/forward_demand.go
@@ -15,14 +15,14 @@
 
 // homeBonus is how much fuller than the emptiest runner the home of a prompt may be: less
 // than what reading the prompt's shared parts again would take of a runner's memory.
-const homeBonus = 0.2
+const homeBonus = 0.35
 
 const (
 	// longShare is the share of a runner's memory from which a prompt counts as long.
 	longShare = 0.04
 	// readingBias is how many times more the tokens count that are not read yet: they
 	// hold up the streams at their runner.
-	readingBias = 3
+	readingBias = 12
 	// firstWeights is the version that models have before one is named.
 	firstWeights = 1
 	// fullShare is the share of a runner's memory up to which long prompts are sent to
--- a/coltsstore/store_catalogue.go
+++ b/coltsstore/store_catalogue.go
@@ -67,6 +67,8 @@
 	capacity int
 	used     int
 	items    map[Key]item
+	// growing are the parts that were partial when the store was last listed.
+	growing map[Key]growth
 }
 
 // Catalogue holds what the stores hold. It may be used concurrently.
@@ -108,7 +110,7 @@
 	for key := range s.items {
 		c.noteLocked(Change{Store: store, Key: key})
 	}
-	s.items, s.used = map[Key]item{}, 0
+	s.items, s.used, s.growing = map[Key]item{}, 0, nil
 }
 
 // Add takes in that a store holds a part whole.
--- a/coltsstore/store_test.go
+++ b/coltsstore/store_test.go
@@ -120,6 +120,27 @@
 	})
 }
 
+func TestBrokenOff(t *testing.T) {
+	look := func(c *Catalogue, tokens int, at time.Duration) int {
+		return len(c.BrokenOff("s", []Partial{{Key: key("a"), Tokens: tokens}}, now.Add(at)))
+	}
+	t.Run("a part that grows is being written", func(t *testing.T) {
+		c := NewCatalogue()
+		assert.Equal(t, look(c, 10, 0)+look(c, 20, brokenTime)+look(c, 30, 2*brokenTime), 0)
+	})
+	t.Run("a part that stands still has broken off", func(t *testing.T) {
+		c := NewCatalogue()
+		assert.Equal(t, look(c, 10, 0)+look(c, 10, brokenTime-1), 0)
+		assert.Equal(t, look(c, 10, brokenTime), 1)
+	})
+	t.Run("a store that started anew is watched anew", func(t *testing.T) {
+		c := NewCatalogue()
+		assert.Equal(t, look(c, 10, 0), 0)
+		c.Reset("s")
+		assert.Equal(t, look(c, 10, brokenTime), 0)
+	})
+}
+
 func TestPlan(t *testing.T) {
 	t.Run("what a store holds is fetched from it", func(t *testing.T) {
 		d := directory(heldIn("slow", "a", 500))
