Move what a request asks of an upstream into its aggregate.

Cause: the gateway, an adapter, held the decision's constants, so nothing but a gateway could use or test it. Change: coltsforward.Life.Demand decides from what the gateway knows; the gateway only gathers that. Behaviour stays.

--- /dev/null
+++ b/coltsforward/forward_demand.go
@@ -0,0 +1,73 @@
+package coltsforward
+
+// What a request asks of the choice among upstreams. Work is measured in tokens of memory
+// at model runners and in requests elsewhere.
+
+import (
+	"coltsfootstall/coltsbalance"
+	"coltsfootstall/coltsidentity"
+	"coltsfootstall/coltsroute"
+	"coltsfootstall/coltsstore"
+	"coltsfootstall/coltsweights"
+)
+
+const (
+	// homeBonus is how much fuller than the emptiest runner the home of a prompt may
+	// be, as a share of a runner's memory. docs/MEASUREMENTS.md compares values.
+	homeBonus = 0.35
+	// nearBonus is the same for a runner in the data centre of the store with the
+	// prompt's parts: a transfer from elsewhere takes both links twice as long.
+	nearBonus = 0.25
+	// longShare is the share of a runner's memory from which a prompt counts as long.
+	longShare = 0.04
+	// readingBias is how many times more the tokens count that are not read yet: they
+	// hold up the streams at their runner.
+	readingBias = 12
+	// fullShare is the share of a runner's memory up to which long prompts are sent to
+	// it: at more, what it keeps and fetches is pushed out before it is used, and short
+	// prompts find no room.
+	fullShare = 0.9
+)
+
+// Known is what an instance knows when it chooses an upstream for a request.
+type Known struct {
+	// Service is that of the request; one that the table lacks is zero.
+	Service coltsroute.Service
+	// Held is how many tokens of the prompt's shared parts can be fetched.
+	Held int
+	// Near is the data centre that they are fetched from, empty for none.
+	Near coltsidentity.DataCentre
+	// Least is the lowest version of the weights that may serve the request, 0 for any.
+	Least coltsweights.Number
+}
+
+// Demand returns what the request asks of an upstream.
+func (l *Life) Demand(k Known) coltsbalance.Demand {
+	d := coltsbalance.Demand{
+		Service: l.Service, Weight: 1, Capacity: 1, Exclude: l.tried, Model: l.Asked.Model, Least: k.Least,
+	}
+	if k.Service.Engine == nil {
+		return d
+	}
+	d.Capacity = float64(k.Service.Engine.CacheTokens)
+	d.Weight = float64(l.Asked.PromptTokens + l.Asked.OutputTokens)
+	if d.Weight > longShare*d.Capacity {
+		d.Limit = fullShare
+	}
+	if l.Route.Sticky {
+		d.Affinity, d.HomeBonus = []byte(l.Affinity()), homeBonus
+		d.Near, d.NearBonus = k.Near, nearBonus
+		d.Reading, d.ReadingBias = float64(l.Asked.PromptTokens-k.Held), readingBias
+	}
+	return d
+}
+
+// Wanted returns the prompt's shared parts within a scope.
+func (l *Life) Wanted(scope string) []coltsstore.Wanted {
+	parts := l.SharedParts()
+	wanted := make([]coltsstore.Wanted, len(parts))
+	for i, part := range parts {
+		wanted[i] = coltsstore.Wanted{Key: coltsstore.Key{Scope: scope, Part: part.ID}, Tokens: part.Tokens}
+	}
+	return wanted
+}
--- a/coltsgateway/forward_moves.go
+++ b/coltsgateway/forward_moves.go
@@ -12,7 +12,7 @@
 // planMoves decides which parts of the prompt are fetched from stores and which are saved
 // there.
 func (f *forwarding) planMoves(s *Sending) {
-	wanted := f.wanted(s.CacheScope)
+	wanted := f.life.Wanted(s.CacheScope)
 	if len(wanted) == 0 || !f.g.settings.KeepCache {
 		return
 	}
