Measure in the repository what reading, fetching and waiting are worth.

Variants: the product's, those of the first landing, nothing kept, runners by turns. A home may be 0.6 of a runner's memory fuller (was 0.35), a runner near the store 0.4 (was 0.25).

--- a/coltsforward/forward_demand.go
+++ b/coltsforward/forward_demand.go
@@ -14,10 +14,10 @@
 const (
 	// homeBonus is how much fuller than the emptiest runner the home of a prompt may
 	// be, as a share of a runner's memory. docs/MEASUREMENTS.md compares values.
-	homeBonus = 0.35
+	homeBonus = 0.6
 	// nearBonus is the same for a runner in the data centre of the store with the
 	// prompt's parts: a transfer from elsewhere takes both links twice as long.
-	nearBonus = 0.25
+	nearBonus = 0.4
 	// longShare is the share of a runner's memory from which a prompt counts as long.
 	longShare = 0.04
 	// readingBias is how many times more the tokens count that are not read yet: they
--- a/coltsload/load_command.go
+++ b/coltsload/load_command.go
@@ -14,6 +14,7 @@
 	"github.com/urfave/cli/v3"
 
 	"coltsfootstall/coltsrouting"
+	"coltsfootstall/coltstrade"
 )
 
 // Main runs the command line and returns the process's exit status.
@@ -32,7 +33,8 @@
 				Value: "expected-first-token,least-outstanding/recompute,round-robin/recompute"},
 			&cli.IntFlag{Name: "seeds", Usage: "run each variant with `N` seeds", Value: 2},
 		},
-		Action: runScenario,
+		Action:   runScenario,
+		Commands: []*cli.Command{coltstrade.Command()},
 	}
 	if err := root.Run(ctx, args); err != nil {
 		_, _ = fmt.Fprintln(stderr, "coltsload:", err)
