Prefer runners whose streams keep the others' pace.

Change: each gateway measures the pauses of the streams that it passes on; one that is twice the average costs 0.4 of a runner's memory.

--- a/coltsbalance/balance_upstream.go
+++ b/coltsbalance/balance_upstream.go
@@ -53,6 +53,9 @@
 	ReadingBias float64
 	// HomeBonus is what it is worth to reach the home, as a share of the capacity.
 	HomeBonus float64
+	// PaceBias is what it costs if an upstream's streams come at half the pace of the
+	// others', as a share of the capacity.
+	PaceBias float64
 	// Model is the model that the request needs, and Least the lowest version of it
 	// that may serve the request; 0 for any.
 	Model coltsidentity.Model
@@ -142,6 +145,10 @@
 	// others is what the other instances have under way here, until it is too old.
 	others      float64
 	othersUntil time.Time
+	// gap is the usual time between events of its streams, as seen here lately; it counts
+	// until gapUntil.
+	gap      time.Duration
+	gapUntil time.Time
 	// failures counts those in a row; restUntil is until when it is left alone.
 	failures  int
 	restUntil time.Time
--- a/coltsbalance/balancer.go
+++ b/coltsbalance/balancer.go
@@ -112,6 +112,10 @@
 	rank uint64
 	// reading is the work there whose answers have not begun.
 	reading float64
+	// gap is the usual pause of its streams, 0 if none was seen lately; slower how much
+	// longer that is than the average, as a share of it.
+	gap    time.Duration
+	slower float64
 }
 
 // Choose returns the upstream for a demand and counts it as loaded there. It returns
@@ -154,6 +158,9 @@
 			}
 			c := candidate{id: id, load: u.total(now), rests: u.rests(now), rank: coltsshard.Rank(d.Affinity, id),
 				near: d.Near != "" && u.record.DataCentre == d.Near, reading: u.reading}
+			if now.Before(u.gapUntil) {
+				c.gap = u.gap
+			}
 			if !c.rests {
 				awake++
 			}
@@ -164,6 +171,7 @@
 	if awake > 0 {
 		all = slices.DeleteFunc(all, func(c candidate) bool { return c.rests })
 	}
+	setPaces(all)
 	return all, known
 }
 
@@ -216,6 +224,7 @@
 	if c.near {
 		cost -= d.NearBonus
 	}
+	cost += d.PaceBias * c.slower
 	cost += d.ReadingBias * (c.reading + d.Reading) / max(1, d.Capacity)
 	return cost
 }
--- a/coltsbalance/balancer_test.go
+++ b/coltsbalance/balancer_test.go
@@ -165,3 +165,47 @@
 		assert.Equal(t, len(l.Others("c", now.Add(loadTimeout))), 0)
 	})
 }
+
+// paced has the streams of an upstream come with a pause.
+func paced(b *Balancer, id string, gap time.Duration) {
+	for range 30 {
+		b.Paced(Choice{Upstream: coltsregistry.Upstream{ID: coltsidentity.Upstream(id)}}, gap, now)
+	}
+}
+
+// assertShare asserts how many of 100 requests an upstream got.
+func assertShare(t *testing.T, b *Balancer, id string, least, most int) {
+	t.Helper()
+	n := 0
+	for range 100 {
+		c := choose(t, b, Demand{Capacity: 100, PaceBias: 1})
+		b.Done(c, OutcomeUntold, now)
+		if c.Upstream.ID == coltsidentity.Upstream(id) {
+			n++
+		}
+	}
+	assert.Assert(t, n >= least && n <= most, "%s got %d of 100", id, n)
+}
+
+func TestPace(t *testing.T) {
+	t.Run("an upstream whose streams come slower gets less", func(t *testing.T) {
+		b := newBalancer(4)
+		for _, id := range []string{"r1", "r2", "r3"} {
+			paced(b, id, 20*time.Millisecond)
+		}
+		paced(b, "r0", 100*time.Millisecond)
+		assertShare(t, b, "r0", 0, 10)
+	})
+	t.Run("one whose pace is not known counts as the others", func(t *testing.T) {
+		b := newBalancer(4)
+		paced(b, "r1", 20*time.Millisecond)
+		paced(b, "r2", 20*time.Millisecond)
+		assertShare(t, b, "r0", 15, 60)
+	})
+	t.Run("a pace that was measured long ago does not count", func(t *testing.T) {
+		b := newBalancer(2)
+		paced(b, "r1", 20*time.Millisecond)
+		b.Paced(Choice{Upstream: coltsregistry.Upstream{ID: "r0"}}, time.Second, now.Add(-gapFor))
+		assertShare(t, b, "r0", 30, 70)
+	})
+}
--- a/coltsforward/forward_demand.go
+++ b/coltsforward/forward_demand.go
@@ -23,6 +23,9 @@
 	// readingBias is how many times more the tokens count that are not read yet: they
 	// hold up the streams at their runner.
 	readingBias = 12
+	// paceBias is how much fuller the others may be than a runner whose streams come at
+	// half their pace, as a share of a runner's memory.
+	paceBias = 0.4
 	// fullShare is the share of a runner's memory up to which long prompts are sent to
 	// it: at more, what it keeps and fetches is pushed out before it is used, and short
 	// prompts find no room.
@@ -54,6 +57,7 @@
 	if d.Weight > longShare*d.Capacity {
 		d.Limit = fullShare
 	}
+	d.PaceBias = paceBias
 	if l.Route.Sticky {
 		d.Affinity, d.HomeBonus = []byte(l.Affinity()), homeBonus
 		d.Near, d.NearBonus = k.Near, nearBonus
--- a/coltsgateway/forward_stream.go
+++ b/coltsgateway/forward_stream.go
@@ -124,6 +124,7 @@
 	now := f.g.now()
 	if !f.passedAt.IsZero() {
 		f.pause = max(f.pause, now.Sub(f.passedAt))
+		f.g.balancer.Paced(f.choice, now.Sub(f.passedAt), now)
 	}
 	f.passedAt = now
 }
--- a/coltstrade/trade_entry.go
+++ b/coltstrade/trade_entry.go
@@ -161,6 +161,7 @@
 		e.balancer.Begun(&choice)
 		p.firstAt = e.d.s.now.Add(firstLatency + hop)
 	}
+	n.event = func(gap time.Duration) { e.balancer.Paced(choice, gap, e.d.s.now) }
 	n.done = func(pause time.Duration) {
 		e.balancer.Done(choice, coltsbalance.OutcomeAnswered, e.d.s.now)
 		e.d.result.served(p, pause)
--- a/coltstrade/trade_runner.go
+++ b/coltstrade/trade_runner.go
@@ -27,8 +27,9 @@
 	toMake  int
 	eventAt time.Time
 	pause   time.Duration
-	// first is called at the first event, done at the end.
+	// first is called at the first event, event at each later one, done at the end.
 	first func()
+	event func(gap time.Duration)
 	done  func(pause time.Duration)
 }
 
@@ -189,7 +190,9 @@
 	case n.made == 1:
 		n.first()
 	case n.made%r.shape.EventTokens == 0 || n.made == n.toMake:
-		n.pause = max(n.pause, r.s.now.Sub(n.eventAt))
+		gap := r.s.now.Sub(n.eventAt)
+		n.pause = max(n.pause, gap)
+		n.event(gap)
 	default:
 		return
 	}
--- a/coltstrade/trade_schedule.go
+++ b/coltstrade/trade_schedule.go
@@ -1,7 +1,8 @@
 package coltstrade
 
 // Simulated time. Things happen in the order of their times, and those of one instant in
-// the order in which they were planned, so that a seed always gives the same day.
+// the order in which they were planned. A seed always gives the same arrivals; choices among
+// equal runners may differ from run to run.
 
 import (
 	"container/heap"
