--- a/coltsbalance/balancer_test.go
+++ b/coltsbalance/balancer_test.go
@@ -203,9 +203,10 @@
 		assertShare(t, b, "r0", 15, 60)
 	})
 	t.Run("a pace that was measured long ago does not count", func(t *testing.T) {
-		b := newBalancer(2)
+		b := newBalancer(4)
 		paced(b, "r1", 20*time.Millisecond)
+		paced(b, "r2", 20*time.Millisecond)
 		b.Paced(Choice{Upstream: coltsregistry.Upstream{ID: "r0"}}, time.Second, now.Add(-gapFor))
-		assertShare(t, b, "r0", 30, 70)
+		assertShare(t, b, "r0", 15, 60)
 	})
 }
