--- a/coltstrade/trade_scenario.go
+++ b/coltstrade/trade_scenario.go
@@ -85,10 +85,25 @@
 // scenarioTable holds the scenarios by name.
 var scenarioTable = map[string]Scenario{
 	"calm":   sized("prompts return after gaps that no runner's memory outlasts", 1, 0),
+	"grown":  grown(),
 	"crest":  sized("twice the demand in the middle third", 2, 0),
 	"slowed": sized("three of eighteen runners take four times as long", 1, 3),
 }
 
+// grown is a day with as many entries as runners, each of which sees little itself.
+func grown() Scenario {
+	s := sized("ninety entries before ninety runners", 1, 0)
+	s.Entries, s.Runners = 90, 90
+	for i := range s.Classes {
+		s.Classes[i].PerSecond *= 5
+		s.Classes[i].Sessions *= 5
+	}
+	for i := range s.Stores {
+		s.Stores[i].Count *= 5
+	}
+	return s
+}
+
 // sized is a day with eighteen runners in three data centres.
 func sized(usage string, crest float64, slowed int) Scenario {
 	return Scenario{
