Order runners behind a round with a quorum alone, as documented.

Cause: the roll-out of weights also asked for a lease. Ruled out: late orders (none was sent at all, by the leader's log). Change: the lease is not asked for. The round with a quorum right before each order is the stronger check, and a new leader still waits control/order-wait.

--- a/coltscontrol/weights_loop.go
+++ b/coltscontrol/weights_loop.go
@@ -1,8 +1,8 @@
 package coltscontrol
 
-// The leader brings runners to the named weight versions. Each order is sent within its
-// lease, behind a round with a quorum, and carries its term as fencing token; a new
-// leader waits until the orders of the one before have been answered or given up.
+// The leader brings runners to the named weight versions. Each order is sent right behind
+// a round with a quorum and carries the leader's term as fencing token; a new leader waits
+// until the orders of the one before have been answered or given up.
 
 import (
 	"context"
@@ -81,8 +81,7 @@
 	if len(behind) == 0 {
 		return idlePeriod
 	}
-	endBy := now.Add(coltsweights.OrderTimeout)
-	if now.Before(v.leadsSince.Add(l.c.settings.OrderWait)) || endBy.After(v.leaseUntil.Add(coltsweights.OrderTimeout)) {
+	if now.Before(v.leadsSince.Add(l.c.settings.OrderWait)) {
 		return rolloutPeriod
 	}
 	for _, task := range l.rollout.Plan(behind, l.wanted, sizes, coltsweights.Fence(v.term), now) {
