Let long prompts that are late wait for more room than those that are not.

Cause: a gateway sends a late prompt as soon as no other waits there, and the room is then missing at another gateway whose prompt could be on time; a long prompt holds a tenth of a runner's memory for some two seconds. Change: who can't be on time any more is sent to runners up to 0.4 full only (on time: 0.9).

--- a/coltsforward/forward_demand.go
+++ b/coltsforward/forward_demand.go
@@ -4,6 +4,8 @@
 // at model runners and in requests elsewhere.
 
 import (
+	"time"
+
 	"coltsfootstall/coltsbalance"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltsroute"
@@ -30,6 +32,9 @@
 	// it: at more, what it keeps and fetches is pushed out before it is used, and short
 	// prompts find no room.
 	fullShare = 0.9
+	// lateShare is the same for long prompts that can't be on time any more: another
+	// gateway may have one that can.
+	lateShare = 0.4
 )
 
 // Known is what an instance knows when it chooses an upstream for a request.
@@ -45,7 +50,7 @@
 }
 
 // Demand returns what the request asks of an upstream.
-func (l *Life) Demand(k Known) coltsbalance.Demand {
+func (l *Life) Demand(k Known, now time.Time) coltsbalance.Demand {
 	d := coltsbalance.Demand{
 		Service: l.Service, Weight: 1, Capacity: 1, Exclude: l.tried, Model: l.Asked.Model, Least: k.Least,
 	}
@@ -56,6 +61,9 @@
 	d.Weight = float64(l.Asked.PromptTokens + l.Asked.OutputTokens)
 	if d.Weight > longShare*d.Capacity {
 		d.Limit = fullShare
+		if now.After(l.OnTimeUntil()) {
+			d.Limit = lateShare
+		}
 	}
 	d.PaceBias = paceBias
 	if l.Route.Sticky {
--- a/coltsgateway/forward_demand.go
+++ b/coltsgateway/forward_demand.go
@@ -24,7 +24,7 @@
 		known.Held = f.g.stores.Held(wanted, f.g.now())
 		known.Near = f.near(wanted)
 	}
-	return f.life.Demand(known)
+	return f.life.Demand(known, f.g.now())
 }
 
 // wantedScope returns what the prompt's parts may be shared within at a runner that has
--- a/coltstrade/trade_entry.go
+++ b/coltstrade/trade_entry.go
@@ -83,7 +83,7 @@
 			known.Near = service.Store.DataCentre
 		}
 	}
-	demand := life.Demand(known)
+	demand := life.Demand(known, e.d.s.now)
 	if e.d.variant.Adjust != nil {
 		e.d.variant.Adjust(&demand)
 	}
