Let long prompts that can be on time fill a runner's memory.

Cause: the tenth of its memory that was kept free had room for late prompts that pushed out what is kept; those wait now.

--- a/coltsforward/forward_demand.go
+++ b/coltsforward/forward_demand.go
@@ -31,7 +31,7 @@
 	// fullShare is the share of a runner's memory up to which long prompts are sent to
 	// it: at more, what it keeps and fetches is pushed out before it is used, and short
 	// prompts find no room.
-	fullShare = 0.9
+	fullShare = 1.0
 	// lateShare is the same for long prompts that can't be on time any more: another
 	// gateway may have one that can.
 	lateShare = 0.4
