Keep callers waiting for the first route table of a gateway that has just started.

Cause: after a loss of power of everything some hundred callers were refused in the 0.3 s until the table was there, and came back late and all at once. Ruled out: to hold everybody always (who waits in vain is held for nothing). Change: within 3 s of its start a gateway lets callers wait for up to 0.7 s; then they are refused as not run, as before. TestStart failed before (refused at once); passed five times with the race detector.

--- a/coltsgateway/control_watch.go
+++ b/coltsgateway/control_watch.go
@@ -253,6 +253,7 @@
 	}
 	before := w.g.routes.Version()
 	if w.g.routes.Put(table) {
+		w.g.known.Fire()
 		w.g.metrics.Put(coltsmetric.RoutesVersion, int64(table.Version))
 		w.g.log.Info("A route table is in force.", coltslog.Fields{
 			"version": table.Version, "before": before, "routes": len(table.Routes), "organisations": len(table.Organisations),
--- a/coltsgateway/forward_request.go
+++ b/coltsgateway/forward_request.go
@@ -53,12 +53,12 @@
 func (f *forwarding) serve() bool {
 	now := f.g.now()
 	f.g.metrics.Add(coltsmetric.Requests, 1)
-	f.table = f.g.routes.Current()
 	asked, err := f.g.dialect.ReadRequest(&f.req.Header)
 	if err != nil {
 		refused := coltsattempt.NotRun(coltsattempt.ReasonBadRequest, "%v", err)
 		return f.refuse(asked.ID, refused)
 	}
+	f.table = f.awaitTable(now)
 	f.life, err = coltsforward.Begin(asked, f.table, now)
 	if err != nil {
 		return f.refuseError(asked.ID, err)
--- a/coltsgateway/gateway.go
+++ b/coltsgateway/gateway.go
@@ -63,8 +63,10 @@
 	balancer *coltsbalance.Balancer
 	stores   *coltsstore.Directory
 	queue    *coltsbalance.Queue
-	// room is fired when an upstream may have got room.
+	// room is fired when an upstream may have got room, known when a route table has
+	// come into force.
 	room   *coltsloop.Signal
+	known  *coltsloop.Signal
 	budget *coltsattempt.Window
 	// suspects are the requests that crashed upstreams, here or elsewhere.
 	suspects *coltsattempt.Quarantine
@@ -109,6 +111,7 @@
 		stores:   coltsstore.NewDirectory(),
 		queue:    coltsbalance.NewQueue(),
 		room:     coltsloop.NewSignal(),
+		known:    coltsloop.NewSignal(),
 		budget: coltsattempt.NewWindow(coltsattempt.WindowConfig{
 			Ratio:  cfg.Settings.Gateway.RetryRatio,
 			Slack:  cfg.Settings.Gateway.RetrySlack,
