Count a prompt as late sooner.

Cause: what is sent at 0.55 of its goal is rarely in time: the reading and the first token of a long prompt take some 0.25 s. Conclusion: kept at 0.4.

--- a/coltsforward/forward_life.go
+++ b/coltsforward/forward_life.go
@@ -25,7 +25,7 @@
 	sparedTime = 10 * time.Millisecond
 	// sendBy is the share of a route's goal within which a request must be sent to be
 	// on time: the rest is what an upstream with room takes to begin.
-	sendBy = 0.55
+	sendBy = 0.4
 	// patience is how many times its goal a request waits for room: callers leave after
 	// four times theirs.
 	patience = 3
