--- a/coltstrade/trade_day.go
+++ b/coltstrade/trade_day.go
@@ -43,7 +43,10 @@
 	return []Variant{
 		{Name: "current", Usage: "the product's decisions", Fetch: true},
 		{Name: "first-landing", Usage: "as they were when the stores were first used", Fetch: true, Adjust: func(d *coltsbalance.Demand) {
-			d.ReadingBias, d.HomeBonus, d.NearBonus = 3, 0.1, 0.1
+			d.ReadingBias, d.HomeBonus, d.NearBonus, d.PaceBias = 3, 0.1, 0.1, 0
+			if d.Limit > 0 {
+				d.Limit = 0.9
+			}
 		}},
 		{Name: "recompute", Usage: "nothing is fetched or saved"},
 		{Name: "round-robin-recompute", Usage: "runners by turns, nothing is fetched", Policy: coltsbalance.PolicyRoundRobin},
