--- a/coltsforward/forward_demand.go
+++ b/coltsforward/forward_demand.go
@@ -29,8 +29,7 @@
 	// half their pace, as a share of a runner's memory.
 	paceBias = 0.4
 	// fullShare is the share of a runner's memory up to which long prompts are sent to
-	// it: at more, what it keeps and fetches is pushed out before it is used, and short
-	// prompts find no room.
+	// it: beyond all of it they would wait there, and push out what others have fetched.
 	fullShare = 1.0
 	// lateShare is the same for long prompts that can't be on time any more: another
 	// gateway may have one that can.
