Accept every form of number that the platform renders into settings

Change: the slack may have a fraction; whole numbers and durations may be written with a fraction of zero or an exponent; bounds that the platform does not give have their defaults; a grace period or a retry window of zero is allowed. Ruled out: rounding in the template, which has no arithmetic.

--- a/coltsattempt/retry_window.go
+++ b/coltsattempt/retry_window.go
@@ -20,14 +20,17 @@
 	// because the window moves in steps of a slot and a change in the number of instances is
 	// noticed late.
 	budgetUseShare = 0.8
+	// minWindow is the shortest window; the slots of a shorter one would have no length.
+	minWindow = windowSlots * time.Millisecond
 )
 
 // RetryWindowConfig is the retry budget that all instances share.
 type RetryWindowConfig struct {
 	// Ratio is the number of retries allowed per request of a service.
 	Ratio float64
-	// Slack is the number of additional retries allowed per window, over all instances.
-	Slack int
+	// Slack is the number of additional retries allowed per window, over all instances. It may
+	// have a fraction.
+	Slack float64
 	// Window is the time over which requests and retries are counted.
 	Window time.Duration
 }
@@ -53,6 +56,7 @@
 
 // NewRetryWindow returns a window without requests or retries.
 func NewRetryWindow(cfg RetryWindowConfig) *RetryWindow {
+	cfg.Window = max(cfg.Window, minWindow)
 	w := &RetryWindow{cfg: cfg}
 	for i := range w.shards {
 		w.shards[i].rings = map[coltsidentity.Service]*slotRing{}
@@ -81,7 +85,7 @@
 		requests += slot.requests
 		retries += slot.retries
 	}
-	slack := float64(w.cfg.Slack) / float64(max(1, instances))
+	slack := w.cfg.Slack / float64(max(1, instances))
 	if float64(retries+1) > budgetUseShare*(w.cfg.Ratio*float64(requests)+slack) {
 		return false
 	}
--- a/coltscommand/command_instance.go
+++ b/coltscommand/command_instance.go
@@ -28,7 +28,7 @@
 		Usage: "run an entry instance: accept callers' requests and route them to upstreams",
 		Description: "Stops gracefully on SIGTERM: readiness fails at once, and responses in progress are completed.\n" +
 			"Example:\n   coltsfootstall entry --settings entry.jsonc",
-		Flags:  []cli.Flag{settingsFlag()},
+		Flags:  instanceFlags(),
 		Action: runEntry,
 	}
 }
@@ -39,7 +39,7 @@
 		Usage: "run a gateway instance: forward callers' requests by the route table",
 		Description: "Stops gracefully on SIGTERM: readiness fails at once, and responses in progress are completed.\n" +
 			"Example:\n   coltsfootstall gateway --settings gateway.jsonc",
-		Flags:  []cli.Flag{settingsFlag()},
+		Flags:  instanceFlags(),
 		Action: runGateway,
 	}
 }
@@ -50,26 +50,11 @@
 		Usage: "run a control instance: keep the durable state on its disk",
 		Description: "Example:\n   coltsfootstall control --settings control.jsonc\n" +
 			"The first start puts the document named by control/initial-document in force.",
-		Flags:  []cli.Flag{settingsFlag()},
+		Flags:  instanceFlags(),
 		Action: runControl,
 	}
 }
 
-func settingsFlag() cli.Flag {
-	return &cli.StringFlag{
-		Name:  "settings",
-		Usage: "read settings from `FILE`, JSON with comments; without it the defaults apply",
-	}
-}
-
-func loadSettings(c *cli.Command) (coltssettings.Settings, error) {
-	file := c.String("settings")
-	if file == "" {
-		return coltssettings.Default(), nil
-	}
-	return coltssettings.Load(file)
-}
-
 func newLog(c *cli.Command, s coltssettings.Settings) *coltslog.Log {
 	return coltslog.New(coltslog.Config{
 		Output:   coltslog.NewQueue(c.Root().Writer),
@@ -122,7 +107,7 @@
 const diskFailureExitDelay = time.Second
 
 func runEntry(ctx context.Context, c *cli.Command) error {
-	settings, err := loadSettings(c)
+	settings, err := loadSettings(ctx, c)
 	if err != nil {
 		return err
 	}
@@ -135,7 +120,7 @@
 }
 
 func runControl(ctx context.Context, c *cli.Command) error {
-	settings, err := loadSettings(c)
+	settings, err := loadSettings(ctx, c)
 	if err != nil {
 		return err
 	}
@@ -159,7 +144,7 @@
 }
 
 func runGateway(ctx context.Context, c *cli.Command) error {
-	settings, err := loadSettings(c)
+	settings, err := loadSettings(ctx, c)
 	if err != nil {
 		return err
 	}
--- a/coltsjsonc/jsonc_decode.go
+++ b/coltsjsonc/jsonc_decode.go
@@ -12,7 +12,9 @@
 	"bytes"
 	"encoding"
 	"fmt"
+	"math"
 	"reflect"
+	"strconv"
 	"strings"
 	"time"
 
@@ -191,7 +193,7 @@
 	if !ok {
 		return
 	}
-	duration, err := time.ParseDuration(s)
+	duration, err := parseDuration(s)
 	if err != nil {
 		d.addProblem(v, path, `is %q, expected a duration such as "250ms" or "5s"`, s)
 		return
@@ -199,6 +201,21 @@
 	dst.SetInt(int64(duration))
 }
 
+// parseDuration parses a duration as time.ParseDuration does. Its number may also have an
+// exponent, such as 1.5e+04ms.
+func parseDuration(text string) (time.Duration, error) {
+	unit := strings.TrimLeft(text, "+-.0123456789eE")
+	number := strings.TrimSuffix(text, unit)
+	if !strings.ContainsAny(number, "eE") {
+		return time.ParseDuration(text)
+	}
+	f, err := strconv.ParseFloat(number, 64)
+	if err != nil {
+		return 0, err
+	}
+	return time.ParseDuration(strconv.FormatFloat(f, 'f', -1, 64) + unit)
+}
+
 func (d *decoder) decodeText(v hujson.Value, dst encoding.TextUnmarshaler, path string) {
 	expected := expectedText(dst)
 	s, ok := d.decodeString(v, path, expected)
@@ -242,20 +259,35 @@
 }
 
 func (d *decoder) decodeInt(v hujson.Value, dst reflect.Value, path string) {
-	var n int64
 	literal, ok := v.Value.(hujson.Literal)
 	if !ok || literal.Kind() != '0' {
 		d.addProblem(v, path, "is %s, expected a whole number", kindOf(v))
 		return
 	}
-	_, err := fmt.Sscanf(string(literal), "%d", &n)
-	if err != nil || fmt.Sprint(n) != string(literal) {
+	n, ok := parseWhole(string(literal))
+	if !ok {
 		d.addProblem(v, path, "is %s, expected a whole number", literal)
 		return
 	}
 	dst.SetInt(n)
 }
 
+// maxExactWhole is the largest number up to which every whole number is exact in a float64.
+const maxExactWhole = 1 << 53
+
+// parseWhole parses a JSON number that is whole by its value, such as 3, 3.0 or 3e2: some
+// writers give every number a fraction or an exponent.
+func parseWhole(text string) (int64, bool) {
+	if n, err := strconv.ParseInt(text, 10, 64); err == nil {
+		return n, true
+	}
+	f, err := strconv.ParseFloat(text, 64)
+	if err != nil || f != math.Trunc(f) || math.Abs(f) > maxExactWhole {
+		return 0, false
+	}
+	return int64(f), true
+}
+
 func (d *decoder) decodeFloat(v hujson.Value, dst reflect.Value, path string) {
 	literal, ok := v.Value.(hujson.Literal)
 	if !ok || literal.Kind() != '0' {
--- a/coltsjsonc/jsonc_decode_test.go
+++ b/coltsjsonc/jsonc_decode_test.go
@@ -56,6 +56,9 @@
 		{"a duplicate name", "{\"on\": true,\n\"on\": false}", 2, "stands more than once"},
 		{"a string instead of a number", "{\n\n\"count\": \"3\"}", 3, "is a string, expected a whole number"},
 		{"a fraction instead of a whole number", `{"count": 1.5}`, 1, "expected a whole number"},
+		{"a whole number that is too large", `{"count": 1e300}`, 1, "expected a whole number"},
+		{"a duration whose number is not one", `{"span": "e5ms"}`, 1, "expected a duration such as"},
+		{"a duration that is too long", `{"span": "1e300s"}`, 1, "expected a duration such as"},
 		{"a number instead of a duration", `{"span": 5}`, 1, `expected a duration such as`},
 		{"an invalid duration", `{"span": "soon"}`, 1, `is "soon", expected a duration`},
 		{"an invalid address", `{"address": "here"}`, 1, "expected an address and port"},
@@ -65,6 +68,25 @@
 	} {
 		t.Run(c.name, func(t *testing.T) { assertProblem(t, c.text, c.line, c.reason) })
 	}
+	for text, want := range map[string]int{"3": 3, "3.0": 3, "3e2": 300, "1.5E+1": 15, "0": 0, "-0.0": 0, "-7": -7} {
+		t.Run("the whole number "+text, func(t *testing.T) {
+			var got target
+			problems := Decode([]byte(`{"count": `+text+`}`), &got)
+			assert.Equal(t, len(problems), 0, "%v", problems)
+			assert.Equal(t, got.Count, want)
+		})
+	}
+	for text, want := range map[string]time.Duration{
+		"6000ms": 6 * time.Second, "6000.0ms": 6 * time.Second, "6e3ms": 6 * time.Second, "1.5E+00s": 1500 * time.Millisecond,
+		"0s": 0, "0e0s": 0, "62.5ms": 62500 * time.Microsecond,
+	} {
+		t.Run("the duration "+text, func(t *testing.T) {
+			var got target
+			problems := Decode([]byte(`{"span": "`+text+`"}`), &got)
+			assert.Equal(t, len(problems), 0, "%v", problems)
+			assert.Equal(t, got.Span, want)
+		})
+	}
 	t.Run("all problems are reported by one call", func(t *testing.T) {
 		var got target
 		assert.Equal(t, len(Decode([]byte(`{"count": "x", "on": 1, "nam": 2}`), &got)), 3)
--- a/coltssettings/settings.go
+++ b/coltssettings/settings.go
@@ -82,11 +82,13 @@
 	RoutingPolicy string `json:"routing-policy" unit:"policy" usage:"how an upstream is chosen: least-loaded, or round-robin to compare with"`
 	KeepCache     bool   `json:"keep-cache" unit:"" usage:"save parts of prompts in stores and fetch them; false reads them always"`
 
-	RetryRatio          float64       `json:"retry-ratio" unit:"share" usage:"attempts after the first one, as a share of a service's requests, that all gateways together may make"`
-	RetrySlack          int           `json:"retry-slack" unit:"attempts" min:"0" usage:"attempts after the first one that are allowed besides that share, in all gateways together"`
+	BufferBytes int `json:"buffer-bytes" unit:"bytes" min:"1048576" usage:"memory that the bodies of long requests and responses may take together while they are buffered"`
+
+	RetryRatio          float64       `json:"retry-ratio" unit:"share" min:"0" usage:"attempts after the first one, as a share of a service's requests, that all gateways together may make"`
+	RetrySlack          float64       `json:"retry-slack" unit:"attempts" min:"0" usage:"attempts after the first one that are allowed besides that share, in all gateways together"`
 	WeightsGracePeriod  time.Duration `json:"weights-due" unit:"duration" min:"0s" usage:"time after the naming of a weight version from which requests are sent only to runners that have it; 0s for never"`
-	RetryWindow         time.Duration `json:"retry-window" unit:"duration" min:"1s" usage:"span over which both are counted"`
-	ShutdownGracePeriod time.Duration `json:"grace" unit:"duration" min:"100ms" usage:"time between the request to stop and the end of the process"`
+	RetryWindow         time.Duration `json:"retry-window" unit:"duration" min:"0s" usage:"span over which both are counted"`
+	ShutdownGracePeriod time.Duration `json:"grace" unit:"duration" min:"0s" usage:"time between the request to stop and the end of the process"`
 }
 
 // Default returns the default settings, which apply unless a settings file changes
@@ -123,6 +125,7 @@
 
 			RoutingPolicy: "least-loaded",
 			KeepCache:     true,
+			BufferBytes:   32 << 20,
 
 			RetryRatio:          0.2,
 			RetrySlack:          50,
--- a/coltssettings/settings_table.go
+++ b/coltssettings/settings_table.go
@@ -8,6 +8,7 @@
 	"os"
 	"reflect"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -204,21 +205,31 @@
 }
 
 // checkMinimum checks that v is not less than minimum, which is a duration for
-// durations and a whole number otherwise.
+// durations and a number otherwise.
 func (c *checker) checkMinimum(v reflect.Value, path, minimum string) {
-	var bound int64
+	if below(v, minimum) {
+		c.add(path, "is %v, expected %s or more", v.Interface(), minimum)
+	}
+}
+
+// below reports whether v is less than the minimum given in a tag. It panics if the tag is
+// invalid, which any test that loads settings detects.
+func below(v reflect.Value, minimum string) bool {
 	if v.Type() == reflect.TypeFor[time.Duration]() {
-		duration, err := time.ParseDuration(minimum)
+		bound, err := time.ParseDuration(minimum)
 		if err != nil {
-			panic(err) // an invalid tag; any test that loads settings detects it
+			panic(err)
 		}
-		bound = int64(duration)
-	} else if _, err := fmt.Sscan(minimum, &bound); err != nil {
-		panic(err) // an invalid tag, as above
+		return time.Duration(v.Int()) < bound
 	}
-	if v.Int() < bound {
-		c.add(path, "is %v, expected %s or more", v.Interface(), minimum)
+	bound, err := strconv.ParseFloat(minimum, 64)
+	if err != nil {
+		panic(err)
+	}
+	if v.CanFloat() {
+		return v.Float() < bound
 	}
+	return float64(v.Int()) < bound
 }
 
 // checkReplicas checks that each instance of the group is listed once and has an
