--- a/coltsattempt/outcome_refusal.go
+++ b/coltsattempt/outcome_refusal.go
@@ -49,6 +49,7 @@
 	ReasonCallerLeft    Reason = "caller-left"
 	ReasonNotReady      Reason = "not-ready"
 	ReasonUnknownResult Reason = "result-unknown"
+	ReasonUnexpected    Reason = "unexpected-error"
 )
 
 // RefusedError reports to the caller that its request was refused or has failed.
--- a/coltscodec/refusal_body.go
+++ b/coltscodec/refusal_body.go
@@ -42,6 +42,7 @@
 	coltsattempt.ReasonNoLedger:      http.StatusServiceUnavailable,
 	coltsattempt.ReasonNotReady:      http.StatusServiceUnavailable,
 	coltsattempt.ReasonUnknownResult: http.StatusConflict,
+	coltsattempt.ReasonUnexpected:    http.StatusInternalServerError,
 }
 
 // RefusalStatus returns the HTTP status of a refusal.
--- a/coltscontrol/control.go
+++ b/coltscontrol/control.go
@@ -88,7 +88,9 @@
 	// catalogue lists the parts that the stores hold, and loads the requests that entries
 	// have running. Only the leader's are complete.
 	catalogue *coltsstore.Catalogue
-	loads     *coltsbalance.Loads
+	// weightAges tells how long ago weight versions were named.
+	weightAges weightAges
+	loads      *coltsbalance.Loads
 	// suspects holds the requests that were running on an upstream when it crashed, as
 	// reported by entries.
 	suspects *coltsattempt.Quarantine
@@ -139,6 +141,7 @@
 		suspects:  coltsattempt.NewQuarantine(coltsattempt.QuarantineConfig{}),
 		registry:  coltsregistry.NewRegistry(coltsregistry.Config{SilentAfter: cfg.Settings.Control.SilentAfter}),
 	}
+	c.weightAges.startedAt = c.started
 	c.registrySource = string(c.id()) + " " + c.started.Format(time.RFC3339Nano)
 	c.routes.Store(&coltsroute.EncodedTable{})
 	c.seeds.Store(&c.settings.Seeds)
@@ -244,6 +247,9 @@
 	return c.driver.view.Load().configuration.Voters
 }
 
+// CountPanic counts an unexpected error that ended a call or a step of a loop.
+func (c *Control) CountPanic() { c.metrics.Add(coltsmetric.Panics, 1) }
+
 // Revision returns the document's revision in force.
 func (c *Control) Revision() coltsdocument.Revision {
 	return c.machine.Register.Current().Revision
--- a/coltscontrol/registry_loop.go
+++ b/coltscontrol/registry_loop.go
@@ -10,6 +10,7 @@
 
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslog"
+	"coltsfootstall/coltsstore"
 	"coltsfootstall/coltswire"
 	"coltsfootstall/coltswire/coltspb"
 )
@@ -188,6 +189,10 @@
 	reply.WeightsRevision = weightsRevision
 	if !sameSource || weightsRevision != r.GetWeightsRevision() {
 		reply.Weights = coltswire.EncodeNamedVersions(named)
+		now := s.c.cfg.Now()
+		for i, n := range named {
+			reply.Weights[i].AgeNanos = int64(s.c.weightAges.age(n, now))
+		}
 		hasChanges = true
 	}
 	reply.Controls, reply.Term = s.c.controlAddrs()
@@ -200,6 +205,9 @@
 	maxSuspects = 64
 	// minSharedCrashes is the number of crashes from which a suspect is sent to entries.
 	minSharedCrashes = 2
+	// maxStoreChanges is the greatest number of store changes in one reply. Longer replies could
+	// take an entry with a slow link longer than it waits.
+	maxStoreChanges = 1500
 )
 
 // mergeSuspects records the requests that an entry saw running on upstreams that crashed.
@@ -228,20 +236,29 @@
 }
 
 // addLeaderState adds the state that only the leader has: loads, store contents and suspects. It
-// reports whether the reply should be sent without further waiting, which is so only for a full
-// listing of the stores. Loads change all the time, so they are only sent along with other replies.
+// reports whether the reply should be sent without further waiting, which is so only while an entry
+// receives the whole catalogue. Loads change all the time, so they are only sent along with other replies.
 func (s *controlServer) addLeaderState(r *coltspb.WatchRequest, reply *coltspb.WatchReply, sameSource bool) bool {
 	if !s.c.driver.view.Load().isLeader {
 		return false
 	}
 	reply.Leads = true
 	reply.Loads = coltswire.EncodeLoads(s.c.loads.Others(coltsidentity.Instance(r.GetMember().GetId()), s.c.cfg.Now()))
-	var after uint64
+	reply.Suspects = s.sharedSuspects()
+	// An entry goes on with what it has until the catalogue is complete.
+	if !s.c.catalogue.Complete() {
+		return false
+	}
+	var position coltsstore.Position
 	if sameSource {
-		after = r.GetStoreRevision()
+		position = coltsstore.Position{Revision: r.GetStoreRevision(), Base: r.GetStoreBase()}
 	}
-	changes, revision, whole := s.c.catalogue.Since(after)
-	reply.Stores, reply.StoreRevision, reply.StoresWhole = coltswire.EncodeStoreChanges(changes), revision, whole
-	reply.Suspects = s.sharedSuspects()
-	return whole && len(changes) > 0
+	delta := s.c.catalogue.Since(position, maxStoreChanges)
+	reply.StoresComplete, reply.StoresWhole, reply.StoresMore = true, delta.IsStart, delta.More
+	reply.Stores = coltswire.EncodeStoreChanges(delta.Changes)
+	reply.StoreRevision, reply.StoreBase = delta.Position.Revision, delta.Position.Base
+	for _, store := range s.c.catalogue.Usable() {
+		reply.UsableStores = append(reply.UsableStores, string(store))
+	}
+	return delta.IsStart || delta.More
 }
--- a/coltscontrol/stores_loop.go
+++ b/coltscontrol/stores_loop.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"coltsfootstall/coltsforward"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslog"
@@ -33,6 +35,10 @@
 	// scopeGrace is how long parts of the previous weights version are still fetched after a new
 	// version was named, because runners load it one after another.
 	scopeGrace = 8 * time.Second
+	// freeValidity is how long an order to free parts is valid after the leader began to confirm its
+	// leadership. An order that is delayed for longer could arrive when another leader offers the
+	// parts again, and no other leader is elected sooner.
+	freeValidity = electionTimeout
 )
 
 // StorePart is a part that a store holds, with its length in tokens.
@@ -49,6 +55,10 @@
 	NextEvent uint64
 	// EventsLost is set if events are missing.
 	EventsLost bool
+	// Clock is the time on the store's own clock when it answered; zero if it gave none.
+	Clock time.Time
+	// Unreadable is the number of rows that could not be decoded. They are left out.
+	Unreadable int
 	// Added are the parts that the store holds, in a listing, or has added since the last answer.
 	Added []StorePart
 	// Removed are the keys of the parts that the store has removed.
@@ -65,8 +75,17 @@
 	// Events returns the changes since an earlier answer's NextEvent, waiting up to wait if there
 	// are none yet.
 	Events func(ctx context.Context, store netip.AddrPort, since uint64, wait time.Duration) (StoreUpdate, error)
-	// Free frees parts if the store's boot epoch is still bootEpoch, so that it has not restarted.
-	Free func(ctx context.Context, store netip.AddrPort, bootEpoch uint64, keys []coltsstore.Key) error
+	// Free frees parts unless the store has restarted or the order's deadline has passed.
+	Free func(ctx context.Context, store netip.AddrPort, order FreeOrder) error
+}
+
+// FreeOrder is an order to a store to free parts.
+type FreeOrder struct {
+	// BootEpoch is that of the store's process that holds the parts.
+	BootEpoch uint64
+	Keys      []coltsstore.Key
+	// Deadline is when the order expires, by the store's own clock; zero for never.
+	Deadline time.Time
 }
 
 // followStores follows the managed stores of the route table while this instance leads, until ctx ends.
@@ -80,25 +99,50 @@
 		}
 	}()
 	var table storeTable
-	coltsloop.Every(ctx, storesPeriod, func() {
-		wanted := c.managedStores(&table)
-		for name, cancel := range followed {
-			if _, ok := wanted[name]; !ok {
-				cancel()
-				delete(followed, name)
-				c.catalogue.Reset(name)
-			}
+	ticker := time.NewTicker(storesPeriod)
+	defer ticker.Stop()
+	for {
+		leaderChanged := c.leaderChanged.Channel()
+		c.updateFollowers(ctx, &table, followed, &followers)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-leaderChanged:
 		}
-		for name, store := range wanted {
-			if _, ok := followed[name]; ok {
-				continue
-			}
-			followCtx, cancel := context.WithCancel(ctx)
-			followed[name] = cancel
-			f := &storeFollower{c: c, name: name, store: store}
-			followers.Go(func() { f.run(followCtx) })
+	}
+}
+
+// updateFollowers starts and ends followers so that there is one for each managed store while this
+// instance leads, and none otherwise.
+func (c *Control) updateFollowers(
+	ctx context.Context, table *storeTable, followed map[coltsidentity.Service]context.CancelFunc, followers *sync.WaitGroup,
+) {
+	wanted, known := c.managedStores(table)
+	for name, cancel := range followed {
+		if _, ok := wanted[name]; !ok {
+			cancel()
+			delete(followed, name)
 		}
-	})
+	}
+	if !known {
+		c.catalogue.Abandon()
+		return
+	}
+	capacities := make(map[coltsidentity.Service]int, len(wanted))
+	for name, store := range wanted {
+		capacities[name] = store.CacheTokens
+	}
+	c.catalogue.Follow(capacities)
+	for name, store := range wanted {
+		if _, ok := followed[name]; ok {
+			continue
+		}
+		followCtx, cancel := context.WithCancel(ctx)
+		followed[name] = cancel
+		f := &storeFollower{c: c, name: name, store: store}
+		followers.Go(func() { f.run(followCtx) })
+	}
 }
 
 // storeTable holds the managed stores of the last decoded route table.
@@ -107,28 +151,29 @@
 	stores  map[coltsidentity.Service]coltsroute.Store
 }
 
-// managedStores returns the managed stores of the current route table, or nil while this instance
-// does not lead. t caches them, so that each table is decoded once.
-func (c *Control) managedStores(t *storeTable) map[coltsidentity.Service]coltsroute.Store {
-	if !c.driver.view.Load().isLeader {
-		return nil
-	}
+// managedStores returns the managed stores of the current route table, and whether they are known,
+// which is so only while this instance leads and has a table. t caches them, so that each table is
+// decoded once.
+func (c *Control) managedStores(t *storeTable) (map[coltsidentity.Service]coltsroute.Store, bool) {
 	encoded := c.routes.Load()
+	if !c.driver.view.Load().isLeader || encoded.Version == 0 {
+		return nil, false
+	}
 	if encoded.Version == t.version {
-		return t.stores
+		return t.stores, true
 	}
 	*t = storeTable{version: encoded.Version, stores: map[coltsidentity.Service]coltsroute.Store{}}
 	table, err := c.cfg.DecodeTable(encoded.Source)
 	if err != nil {
 		c.log.Error("The route table could not be decoded.", coltslog.Fields{"version": encoded.Version, "error": err})
-		return nil
+		return nil, false
 	}
 	for _, s := range table.Services {
 		if s.Store != nil && s.Store.Managed {
 			t.stores[s.Name] = *s.Store
 		}
 	}
-	return t.stores
+	return t.stores, true
 }
 
 // storeFollower follows the events of one store.
@@ -143,19 +188,33 @@
 	listed    bool
 	// nextInspection is when the store is next listed to find incomplete parts.
 	nextInspection time.Time
+	// clock is the time on the store's clock in its last answer, clockReadAt when that answer was
+	// received. clock is zero if the store gives no time.
+	clock       time.Time
+	clockReadAt time.Time
 }
 
 // run follows the store until ctx ends.
 func (f *storeFollower) run(ctx context.Context) {
-	f.c.catalogue.SetCapacity(f.name, f.store.CacheTokens)
 	for ctx.Err() == nil {
-		if err := f.poll(ctx); err != nil {
-			f.handleFailure(ctx, err)
-			continue
-		}
-		f.retire(ctx)
-		f.inspect(ctx)
+		f.follow(ctx)
+	}
+}
+
+// follow polls the store once and maintains its content. An unexpected error counts as a failed poll.
+func (f *storeFollower) follow(ctx context.Context) {
+	defer func() {
+		f.c.log.HandlePanic(recover(), coltslog.Fields{"store": f.name}, func() {
+			f.c.CountPanic()
+			f.handleFailure(ctx, errors.New("an unexpected error"))
+		})
+	}()
+	if err := f.poll(ctx); err != nil {
+		f.handleFailure(ctx, err)
+		return
 	}
+	f.retire(ctx)
+	f.inspect(ctx)
 }
 
 // poll makes one call to the store: for a listing if one is needed, otherwise for events.
@@ -167,9 +226,17 @@
 		if err != nil {
 			return err
 		}
-		f.c.catalogue.Reset(f.name)
+		f.clock, f.clockReadAt = update.Clock, f.c.cfg.Now()
+		f.logUnreadable(update)
+		held := make(map[coltsstore.Key]int, len(update.Added))
+		for _, part := range update.Added {
+			held[part.Key] = part.Tokens
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		f.c.catalogue.SetListed(f.name, held, f.c.cfg.Now())
 		f.listed, f.bootEpoch, f.nextEvent = true, update.BootEpoch, update.NextEvent
-		f.apply(update)
 		f.c.catalogue.AbortedParts(f.name, update.Partial, f.c.cfg.Now())
 		f.nextInspection = f.c.cfg.Now().Add(inspectPeriod)
 		f.c.log.Info("A store's contents were listed.", coltslog.Fields{
@@ -181,6 +248,8 @@
 	if err != nil {
 		return err
 	}
+	f.clock, f.clockReadAt = update.Clock, f.c.cfg.Now()
+	f.logUnreadable(update)
 	if update.BootEpoch != f.bootEpoch || update.EventsLost {
 		f.listed = false
 		f.c.log.Warn("A store restarted or lost events; listing it again.", coltslog.Fields{
@@ -196,6 +265,21 @@
 	return nil
 }
 
+func (f *storeFollower) logUnreadable(update StoreUpdate) {
+	if update.Unreadable > 0 {
+		f.c.log.Warn("Rows of a store's answer could not be read.", coltslog.Fields{"store": f.name, "rows": update.Unreadable})
+	}
+}
+
+// freeDeadline returns when an order that is given now expires, by the store's clock. If the store's
+// answer was delayed or this process was paused since, the order expires sooner.
+func (f *storeFollower) freeDeadline(now time.Time) time.Time {
+	if f.clock.IsZero() {
+		return time.Time{}
+	}
+	return f.clock.Add(now.Sub(f.clockReadAt) + freeValidity)
+}
+
 func (f *storeFollower) apply(update StoreUpdate) {
 	now := f.c.cfg.Now()
 	for _, part := range update.Added {
@@ -214,9 +298,9 @@
 	}
 	if f.listed {
 		f.c.log.Warn("A store did not answer.", coltslog.Fields{"store": f.name, "address": f.store.Addr, "error": err})
-		f.c.catalogue.Reset(f.name)
-		f.listed = false
 	}
+	f.listed = false
+	f.c.catalogue.MarkFailed(f.name)
 	coltsloop.Sleep(ctx, storeRetryDelay)
 }
 
@@ -260,12 +344,13 @@
 	ctx, cancel := context.WithTimeout(ctx, eventsTimeout)
 	defer cancel()
 	fields := coltslog.Fields{"store": f.name, "parts": len(keys), "reason": reason}
+	order := FreeOrder{BootEpoch: f.bootEpoch, Keys: keys, Deadline: f.freeDeadline(f.c.cfg.Now())}
 	if err := f.c.driver.barrier(ctx); err != nil {
 		fields["error"] = err
 		f.c.log.Info("Parts of a store were not freed: leadership is not confirmed.", fields)
 		return
 	}
-	if err := f.c.cfg.Stores.Free(ctx, f.store.Addr, f.bootEpoch, keys); err != nil {
+	if err := f.c.cfg.Stores.Free(ctx, f.store.Addr, order); err != nil {
 		fields["error"] = err
 		f.c.log.Warn("Parts of a store could not be freed.", fields)
 		f.listed = false
--- a/coltscontrol/weights_loop.go
+++ b/coltscontrol/weights_loop.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/alitto/pond/v2"
+	"github.com/pkg/errors"
 
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslog"
@@ -119,10 +120,17 @@
 
 // runTask sends a query or an order to its runner. An order is sent only after a quorum has confirmed
 // that this instance leads.
-func (l *weightsLoop) runTask(ctx context.Context, t coltsweights.Task) taskResult {
+func (l *weightsLoop) runTask(ctx context.Context, t coltsweights.Task) (r taskResult) {
 	ctx, cancel := context.WithDeadline(ctx, t.Deadline)
 	defer cancel()
-	r := taskResult{task: t}
+	r.task = t
+	// A task without a result would keep its runner from getting any other.
+	defer func() {
+		l.c.log.HandlePanic(recover(), coltslog.Fields{"upstream": t.Runner.ID}, func() {
+			l.c.CountPanic()
+			r.err = errors.New("an unexpected error")
+		})
+	}()
 	if t.Kind == coltsweights.TaskQuery {
 		r.status, r.err = l.c.cfg.Runners.Query(ctx, t)
 		return r
--- a/coltsentry/caller_call.go
+++ b/coltsentry/caller_call.go
@@ -70,8 +70,7 @@
 	var final coltsrequest.CallAction
 	task := e.attempts.Submit(func() { final = d.run() })
 	if err := task.Wait(); err != nil {
-		e.refuse(ctx, coltsattempt.NotRun(coltsattempt.ReasonOverloaded,
-			"this instance is serving its maximum number of requests").WithRetryAt(e.cfg.Now()))
+		e.refuse(ctx, e.poolRefusal(err))
 		return
 	}
 	if final.Kind == coltsrequest.CallRefuse {
@@ -138,7 +137,6 @@
 }
 
 func (d *callDriver) sendAttempt(attempt coltsrequest.CallAttempt) coltsrequest.CallAction {
-	d.e.countAttempt(attempt.Attempt)
 	answer, failure := d.e.client.Do(context.Background(), coltsupstream.Request{
 		ID:          d.call.ID,
 		Addr:        attempt.Addr,
@@ -150,6 +148,7 @@
 			"Idempotency-Key": string(d.call.Key),
 		},
 		Deadline:      attempt.Deadline,
+		OnSent:        func() { d.e.countAttempt(attempt.Attempt) },
 		NotRepeatable: !d.call.Repeatable,
 		NoHeartbeats:  true,
 	})
--- a/coltsentry/caller_prompt.go
+++ b/coltsentry/caller_prompt.go
@@ -10,11 +10,14 @@
 	"slices"
 	"time"
 
+	"github.com/alitto/pond/v2"
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltscodec"
 	"coltsfootstall/coltsdocument"
+	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsmetric"
 	"coltsfootstall/coltsrequest"
 	"coltsfootstall/coltsupstream"
@@ -87,12 +90,23 @@
 		refusal = run(action)
 	})
 	if err := task.Wait(); err != nil {
-		return coltsattempt.NotRun(coltsattempt.ReasonOverloaded,
-			"this instance is serving its maximum number of requests").WithRetryAt(d.e.cfg.Now())
+		return d.e.poolRefusal(err)
 	}
 	return refusal
 }
 
+// poolRefusal returns the refusal of a request for which the attempts pool reported err: the pool is
+// full, or the request's task panicked.
+func (e *Entry) poolRefusal(err error) *coltsattempt.RefusedError {
+	if errors.Is(err, pond.ErrPanic) {
+		e.metrics.Add(coltsmetric.Panics, 1)
+		e.log.Error("An unexpected error ended a request.", coltslog.Fields{"error": err})
+		return coltsattempt.Unknown(coltsattempt.ReasonUnexpected, "an unexpected error ended the request")
+	}
+	return coltsattempt.NotRun(coltsattempt.ReasonOverloaded,
+		"this instance is serving its maximum number of requests").WithRetryAt(e.cfg.Now())
+}
+
 // serveStreamed serves a request whose answer is streamed to the caller.
 func (e *Entry) serveStreamed(ctx *fasthttp.RequestCtx, d *promptDriver, conn *coltswatch.Conn) {
 	body := &answerBody{d: d, conn: conn}
@@ -178,8 +192,15 @@
 	}
 }
 
-// Read returns the parts received so far, or waits for the next one if there are none.
-func (b *answerBody) Read(p []byte) (int, error) {
+// Read returns the parts received so far, or waits for the next one if there are none. fasthttp
+// closes the connection without the end of the response if Read fails.
+func (b *answerBody) Read(p []byte) (n int, err error) {
+	defer func() {
+		b.d.e.log.HandlePanic(recover(), coltslog.Fields{"request": b.d.prompt.ID}, func() {
+			b.d.e.metrics.Add(coltsmetric.Panics, 1)
+			n, err = 0, errors.New("an unexpected error ended the response")
+		})
+	}()
 	if len(b.pending) == 0 {
 		if b.atEnd || b.d.ended {
 			return 0, io.EOF
@@ -189,7 +210,7 @@
 		b.pending = b.buffer
 		b.atEnd = !more
 	}
-	n := copy(p, b.pending)
+	n = copy(p, b.pending)
 	b.pending = b.pending[n:]
 	return n, nil
 }
--- a/coltsentry/entry_listeners.go
+++ b/coltsentry/entry_listeners.go
@@ -13,8 +13,10 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltslink"
 	"coltsfootstall/coltslog"
+	"coltsfootstall/coltsmetric"
 	"coltsfootstall/coltswatch"
 	"coltsfootstall/coltswire/coltspb/coltspbconnect"
 )
@@ -46,15 +48,15 @@
 
 func (l *listeners) open(e *Entry) error {
 	var err error
-	l.callers, err = listen(e.settings.CallerAddr, e.serveCaller, e.settings.MaxBodyBytes, coltswatch.NewListener)
+	l.callers, err = listen(e, e.settings.CallerAddr, e.serveCaller, e.settings.MaxBodyBytes, coltswatch.NewListener)
 	if err != nil {
 		return err
 	}
-	l.upstreams, err = listen(e.settings.UpstreamAddr, e.serveUpstream, e.settings.MaxBodyBytes, nil)
+	l.upstreams, err = listen(e, e.settings.UpstreamAddr, e.serveUpstream, e.settings.MaxBodyBytes, nil)
 	if err != nil {
 		return err
 	}
-	l.operators, err = listen(e.settings.OperatorAddr, e.serveOperator, e.settings.MaxBodyBytes, nil)
+	l.operators, err = listen(e, e.settings.OperatorAddr, e.serveOperator, e.settings.MaxBodyBytes, nil)
 	if err != nil {
 		return err
 	}
@@ -83,7 +85,7 @@
 // listen opens a listener for a fasthttp server. The server accepts from wrap's result
 // unless wrap is nil.
 func listen(
-	addr netip.AddrPort, handler fasthttp.RequestHandler, maxBodyBytes int, wrap func(net.Listener) net.Listener,
+	e *Entry, addr netip.AddrPort, handler fasthttp.RequestHandler, maxBodyBytes int, wrap func(net.Listener) net.Listener,
 ) (fastServer, error) {
 	ln, err := net.Listen("tcp", addr.String())
 	if err != nil {
@@ -93,7 +95,7 @@
 		ln = wrap(ln)
 	}
 	server := &fasthttp.Server{
-		Handler:               handler,
+		Handler:               guard(e, handler),
 		Name:                  "coltsfootstall",
 		ReadBufferSize:        headerBufferBytes,
 		MaxRequestBodySize:    maxBodyBytes,
@@ -107,6 +109,21 @@
 	return fastServer{listener: ln, server: server}, nil
 }
 
+// guard returns a handler that answers with an error if handler panics. It is not known whether the
+// request has run then.
+func guard(e *Entry, handler fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		defer func() {
+			e.log.HandlePanic(recover(), coltslog.Fields{"path": string(ctx.Path())}, func() {
+				e.metrics.Add(coltsmetric.Panics, 1)
+				ctx.Response.Reset()
+				e.refuse(ctx, coltsattempt.Unknown(coltsattempt.ReasonUnexpected, "an unexpected error ended the request"))
+			})
+		}()
+		handler(ctx)
+	}
+}
+
 // discardLogger discards fasthttp's own log lines: each is about one connection that a
 // client broke, and such connections are counted.
 type discardLogger struct{}
--- a/coltsentry/prompt_driver.go
+++ b/coltsentry/prompt_driver.go
@@ -77,7 +77,6 @@
 func (d *promptDriver) sendAttempt(dispatch coltsrequest.Dispatch) *coltsupstream.Failure {
 	d.dispatch = dispatch
 	d.generated = 0
-	d.e.countAttempt(dispatch.Attempt)
 	if dispatch.ResumeAt > 0 {
 		d.e.metrics.Add(coltsmetric.Resumes, 1)
 	}
@@ -116,6 +115,7 @@
 		Body:        d.body,
 		Headers:     headers,
 		Deadline:    dispatch.Deadline,
+		OnSent:      func() { d.e.countAttempt(dispatch.Attempt) },
 	}
 }
 
@@ -247,7 +247,6 @@
 
 func (d *promptDriver) sendBuffered(dispatch coltsrequest.Dispatch) (coltsupstream.Answer, *coltsupstream.Failure) {
 	d.dispatch = dispatch
-	d.e.countAttempt(dispatch.Attempt)
 	answer, failure := d.e.client.Complete(d.ctx, d.upstreamRequest(dispatch))
 	if failure != nil {
 		return coltsupstream.Answer{}, failure
--- a/coltsforward/forward_request.go
+++ b/coltsforward/forward_request.go
@@ -29,6 +29,11 @@
 	// queueGoalFactor is the longest time that a request is queued for room, as a multiple
 	// of its route's goal. Callers hang up after four times their goal.
 	queueGoalFactor = 3
+	// minPatience, patienceGoalFactor and patienceGapFactor say when callers leave a silent
+	// stream: after the longest of minPatience and these multiples of the route's goals.
+	minPatience        = 2 * time.Second
+	patienceGoalFactor = 4
+	patienceGapFactor  = 8
 	// retryAfterOverload is the retry delay for callers whose request found no room while
 	// it was queued: a load peak lasts a few seconds.
 	retryAfterOverload = 2500 * time.Millisecond
@@ -156,6 +161,13 @@
 	return queueDeadline
 }
 
+// StartWithin returns the time within which an upstream must start its answer: callers leave a
+// stream that stays silent for longer, and the deadline ends every request.
+func (r *Request) StartWithin(now time.Time) time.Duration {
+	patience := max(minPatience, patienceGoalFactor*r.Route.LatencyGoal, patienceGapFactor*r.Route.GapGoal)
+	return max(0, min(patience, r.Deadline().Sub(now)))
+}
+
 // Priority returns the request's priority; 0 is the highest. An organisation's own
 // priority overrides the route's.
 func (r *Request) Priority() int {
--- a/coltsgateway/caller_conn.go
+++ b/coltsgateway/caller_conn.go
@@ -15,7 +15,9 @@
 	"github.com/valyala/fasthttp"
 
 	"coltsfootstall/coltsattempt"
+	"coltsfootstall/coltsbuffer"
 	"coltsfootstall/coltslog"
+	"coltsfootstall/coltsmetric"
 	"coltsfootstall/coltsroute"
 	"coltsfootstall/coltswatch"
 )
@@ -29,6 +31,11 @@
 	// acceptRetryPause is the pause after a failed accept, for example when the process has
 	// run out of file descriptors.
 	acceptRetryPause = 20 * time.Millisecond
+	// closeLinger is how long a connection that is about to be closed may still receive what its
+	// caller has already sent. It exceeds the round trip to callers.
+	closeLinger = 250 * time.Millisecond
+	// maxDiscardBytes bounds what is read and discarded of a refused request.
+	maxDiscardBytes = 1 << 20
 )
 
 // defaultLimits apply until the first route table arrives.
@@ -40,9 +47,9 @@
 }
 
 // accept serves connections until the listener is closed.
-func (g *Gateway) accept(ln net.Listener) {
+func (g *Gateway) accept() {
 	for {
-		nc, err := ln.Accept()
+		nc, err := g.callerListener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -58,8 +65,8 @@
 			g.log.Error("A connection has the wrong type.", coltslog.Fields{"type": nc})
 			continue
 		}
-		c := &callerConn{g: g, nc: conn, br: bufio.NewReaderSize(conn, callerReadBytes)}
-		go c.serve()
+		c := newCallerConn(g, conn)
+		g.callers.Go(c.serve)
 	}
 }
 
@@ -68,20 +75,50 @@
 	g  *Gateway
 	nc *coltswatch.Conn
 	br *bufio.Reader
+	// share is what the body of the current request takes of the memory for buffers, received
+	// the number of bytes read from the connection since that request began.
+	share    *coltsbuffer.Share
+	received int
 }
 
-// serve serves requests until the connection ends.
+func newCallerConn(g *Gateway, nc *coltswatch.Conn) *callerConn {
+	c := &callerConn{g: g, nc: nc, share: g.buffers.NewShare()}
+	c.br = bufio.NewReaderSize((*meteredReader)(c), callerReadBytes)
+	return c
+}
+
+// meteredReader reads from a caller's connection. It fails if the current request has become too
+// long for the memory that is left for buffers.
+type meteredReader callerConn
+
+// Read reads from the connection.
+func (r *meteredReader) Read(p []byte) (int, error) {
+	n, err := r.nc.Read(p)
+	r.received += n
+	if growErr := r.share.Grow(r.received); growErr != nil {
+		return n, growErr
+	}
+	return n, err
+}
+
+// serve serves requests until the connection ends. An unexpected error ends this connection alone.
 func (c *callerConn) serve() {
 	defer func() {
+		c.share.Release()
 		c.g.openConns.remove(c.nc)
 		_ = c.nc.Close() // an error here needs no handling
 	}()
+	defer func() {
+		c.g.log.HandlePanic(recover(), coltslog.Fields{"caller": c.nc.RemoteAddr()}, func() {
+			c.g.metrics.Add(coltsmetric.Panics, 1)
+		})
+	}()
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	for c.awaitRequest() {
-		c.g.requests.Add(1)
 		reusable := c.serveOne(req)
-		c.g.requests.Done()
+		c.share.Release()
+		c.received = 0
 		if !reusable {
 			return
 		}
@@ -100,14 +137,19 @@
 	if c.br.Buffered() > 0 {
 		return true
 	}
-	// On a closed connection the read below fails, so an error here needs no handling.
+	// On a closed connection the reads below fail, so errors of setting deadlines need no handling.
 	_ = c.nc.SetReadDeadline(c.g.now().Add(c.limits().IdleTimeout))
 	c.g.openConns.setIdle(c.nc, true)
 	defer c.g.openConns.setIdle(c.nc, false)
-	if c.g.draining.Load() {
-		_ = c.nc.SetReadDeadline(c.g.now().Add(drainDelay))
+	var err error
+	if !c.g.closing.Load() {
+		_, err = c.br.Peek(1)
+	}
+	if c.g.closing.Load() && (err == nil && c.br.Buffered() == 0 || isTimeout(err)) {
+		// A request may be on its way, on a connection that was accepted just before.
+		_ = c.nc.SetReadDeadline(c.g.now().Add(closeLinger))
+		_, err = c.br.Peek(1)
 	}
-	_, err := c.br.Peek(1)
 	return err == nil
 }
 
@@ -123,7 +165,11 @@
 		return c.refuseUnread(err)
 	}
 	_ = c.nc.SetReadDeadline(time.Time{})
-	f := &forwarding{g: c.g, conn: c, req: req, closeConn: req.Header.ConnectionClose() || !req.Header.IsHTTP11()}
+	f := &forwarding{
+		g: c.g, conn: c, req: req, closeConn: req.Header.ConnectionClose() || !req.Header.IsHTTP11(),
+		buffered: c.g.buffers.NewShare(),
+	}
+	defer f.buffered.Release()
 	return f.serve()
 }
 
@@ -151,7 +197,7 @@
 // buffered.
 func (c *callerConn) enlarge(size int) {
 	buffered, _ := c.br.Peek(c.br.Buffered()) // peeking at buffered bytes can't fail
-	c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.nc), size+callerReadBytes)
+	c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), (*meteredReader)(c)), size+callerReadBytes)
 }
 
 // checkFraming refuses a head whose end or body length another parser might read differently.
@@ -195,6 +241,12 @@
 			return err
 		}
 	}
+	// The parser allocates a body of known length as a whole.
+	if n := req.Header.ContentLength(); n <= limits.MaxBodyBytes {
+		if err := c.share.Grow(n); err != nil {
+			return err
+		}
+	}
 	err := req.ContinueReadBody(c.br, limits.MaxBodyBytes, false)
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		return &badRequestError{status: fasthttp.StatusRequestEntityTooLarge, reason: "its body is too long"}
@@ -215,8 +267,12 @@
 // reused, because the rest of its bytes can't be told apart from another request.
 func (c *callerConn) refuseUnread(err error) bool {
 	var bad *badRequestError
+	var exhausted *coltsbuffer.ExhaustedError
 	switch {
 	case errors.As(err, &bad):
+	case errors.As(err, &exhausted):
+		c.g.metrics.Add(coltsmetric.BuffersExhausted, 1)
+		bad = &badRequestError{status: fasthttp.StatusServiceUnavailable, reason: exhausted.Error()}
 	case isTimeout(err):
 		bad = &badRequestError{
 			status: fasthttp.StatusRequestTimeout, reason: "it was not received completely in time",
@@ -236,6 +292,21 @@
 	text = append(text, "Connection: close\r\nContent-Length: 0\r\n\r\n"...)
 	// A write error means that the caller has closed the connection and can't receive the
 	// response.
-	_, _ = c.nc.Write(text)
+	if _, err := c.nc.Write(text); err == nil {
+		c.discardUnread()
+	}
 	return false
 }
+
+// discardUnread reads and discards the rest of a refused request for a short time. Closing a
+// connection with unread bytes resets it, and the reset may overtake the response.
+func (c *callerConn) discardUnread() {
+	tcp, ok := c.nc.Conn.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil {
+		return
+	}
+	_ = c.nc.SetReadDeadline(c.g.now().Add(closeLinger))
+	// The caller closes the connection, sends too much or takes too long; in each case nothing is
+	// left to do.
+	_, _ = io.CopyN(io.Discard, c.nc, maxDiscardBytes)
+}
--- a/coltsgateway/control_reply.go
+++ b/coltsgateway/control_reply.go
@@ -11,12 +11,13 @@
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsmetric"
+	"coltsfootstall/coltsstore"
 	"coltsfootstall/coltswire"
 	"coltsfootstall/coltswire/coltspb"
 )
 
 // apply applies a reply.
-func (w *controlWatcher) apply(addr netip.AddrPort, reply *coltspb.WatchReply) {
+func (w *controlWatcher) apply(addr netip.AddrPort, reply *coltspb.WatchReply, askedAt time.Time) {
 	now := w.g.now()
 	w.lastReplyAt.Store(&now)
 	if !w.connected {
@@ -31,7 +32,7 @@
 	}
 	if reply.GetWeightsRevision() != w.weightsRevision || len(reply.GetWeights()) > 0 {
 		w.weightsRevision = reply.GetWeightsRevision()
-		w.applyWeights(reply)
+		w.applyWeights(reply, askedAt)
 	}
 	w.registryRevision = reply.GetRegistryRevision()
 	w.applyRegistryEntries(reply, now)
@@ -40,7 +41,9 @@
 	}
 	w.applyControlAddrs(addr, reply.GetControls(), reply.GetTerm())
 	if reply.GetLeads() {
-		w.applyStores(reply, now)
+		if reply.GetStoresComplete() {
+			w.applyStores(reply, now)
+		}
 		w.g.balancer.SetPeerLoads(coltswire.DecodeLoads(reply.GetLoads()), now)
 		w.g.capacityFreed.Broadcast()
 		w.mergeSuspects(reply, now)
@@ -67,11 +70,12 @@
 	for _, change := range coltswire.DecodeStoreChanges(reply.GetStores()) {
 		w.g.stores.Apply(change)
 	}
-	w.storeRevision = reply.GetStoreRevision()
+	w.storePosition = coltsstore.Position{Revision: reply.GetStoreRevision(), Base: reply.GetStoreBase()}
+	w.g.stores.SetUsable(coltswire.DecodeServices(reply.GetUsableStores()))
 	w.g.stores.Confirm(now)
-	if reply.GetStoresWhole() && len(reply.GetStores()) > 0 {
-		w.g.log.Info("Received the full store directory.", coltslog.Fields{
-			"parts": w.g.stores.Len(), "source": w.source,
+	if reply.GetStoresWhole() {
+		w.g.log.Info("Receiving the whole store directory.", coltslog.Fields{
+			"parts": w.g.stores.Len(), "more": reply.GetStoresMore(), "usable": len(reply.GetUsableStores()), "source": w.source,
 		})
 	}
 }
@@ -101,10 +105,11 @@
 	}
 }
 
-func (w *controlWatcher) applyWeights(reply *coltspb.WatchReply) {
-	for _, n := range coltswire.DecodeNamedVersions(reply.GetWeights()) {
-		// The version counts from the time this instance learned of it, by its own clock.
-		n.NamedAt = w.g.now()
+// applyWeights applies the named weights versions. Control answered after askedAt, so a version was
+// named no earlier than its age before that.
+func (w *controlWatcher) applyWeights(reply *coltspb.WatchReply, askedAt time.Time) {
+	for i, n := range coltswire.DecodeNamedVersions(reply.GetWeights()) {
+		n.NamedAt = askedAt.Add(-time.Duration(reply.GetWeights()[i].GetAgeNanos()))
 		if w.g.weights.SetNamed(n) {
 			w.g.log.Info("The wanted weights version of a model changed.", coltslog.Fields{
 				"model": n.Model, "number": n.Number,
--- a/coltsgateway/control_watch.go
+++ b/coltsgateway/control_watch.go
@@ -21,6 +21,7 @@
 	"coltsfootstall/coltsloop"
 	"coltsfootstall/coltsmembership"
 	"coltsfootstall/coltsmetric"
+	"coltsfootstall/coltsstore"
 	"coltsfootstall/coltswire"
 	"coltsfootstall/coltswire/coltspb"
 	"coltsfootstall/coltswire/coltspb/coltspbconnect"
@@ -63,7 +64,7 @@
 	sourceSince      time.Time
 	weightsRevision  uint64
 	registryRevision uint64
-	storeRevision    uint64
+	storePosition    coltsstore.Position
 	listed           map[coltsidentity.Upstream]bool
 	connected        bool
 	// reportedCrashes holds, for each suspect, the number of crashes that were reported to
@@ -94,6 +95,7 @@
 	for ctx.Err() == nil {
 		addrs := w.addrs()
 		addr := addrs[w.next%len(addrs)]
+		askedAt := w.g.now()
 		reply, err := w.poll(ctx, addr)
 		if err != nil {
 			w.recordFailure(addr, err)
@@ -103,10 +105,24 @@
 			}
 			continue
 		}
-		w.apply(addr, reply)
+		w.applySafely(addr, reply, askedAt)
 	}
 }
 
+// applySafely applies a reply. If that fails unexpectedly, the state that this instance has remains in
+// use, and another control instance is asked next for the whole state.
+func (w *controlWatcher) applySafely(addr netip.AddrPort, reply *coltspb.WatchReply, askedAt time.Time) {
+	defer func() {
+		w.g.log.HandlePanic(recover(), coltslog.Fields{"asked": addr, "source": reply.GetSource()}, func() {
+			w.g.metrics.Add(coltsmetric.Panics, 1)
+			w.weightsRevision, w.registryRevision, w.storePosition = 0, 0, coltsstore.Position{}
+			w.next++
+			coltsloop.Sleep(w.g.ctx, watchRetryPause)
+		})
+	}()
+	w.apply(addr, reply, askedAt)
+}
+
 // addrs returns the control instances to ask, in order: the known ones, then the seeds.
 func (w *controlWatcher) addrs() []netip.AddrPort {
 	addrs := slices.Clone(w.controls)
@@ -141,7 +157,8 @@
 		Source:           w.source,
 		WeightsRevision:  w.weightsRevision,
 		RegistryRevision: w.registryRevision,
-		StoreRevision:    w.storeRevision,
+		StoreRevision:    w.storePosition.Revision,
+		StoreBase:        w.storePosition.Base,
 		Loads:            coltswire.EncodeLoads(w.g.balancer.Loads()),
 		Suspects:         coltswire.EncodeSuspects(w.unreportedSuspects()),
 		Fetches:          coltswire.EncodeStoreChanges(w.g.stores.TakeFetches()),
--- a/coltsgateway/forward_buffered.go
+++ b/coltsgateway/forward_buffered.go
@@ -10,13 +10,15 @@
 
 	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltsbalance"
+	"coltsfootstall/coltsbuffer"
 	"coltsfootstall/coltsmetric"
 )
 
 // forwardBuffered passes on a response after reading all of it.
 func (f *forwarding) forwardBuffered(x *exchange) *attemptError {
-	content, err := x.body.readAll(maxBufferedBytes)
+	content, err := x.body.readAll(maxBufferedBytes, f.buffered)
 	if err != nil {
+		f.countExhausted(err)
 		return x.readFailure(coltsattempt.PhaseSent, err)
 	}
 	status := x.resp.StatusCode()
@@ -38,6 +40,14 @@
 	return nil
 }
 
+// countExhausted counts err if it says that the memory for buffers is used up.
+func (f *forwarding) countExhausted(err error) {
+	var exhausted *coltsbuffer.ExhaustedError
+	if errors.As(err, &exhausted) {
+		f.g.metrics.Add(coltsmetric.BuffersExhausted, 1)
+	}
+}
+
 // encodeResponse returns a buffered response as it is sent to the caller.
 func (f *forwarding) encodeResponse(x *exchange, status int, content []byte) []byte {
 	text := appendStatusLine(make([]byte, 0, len(content)+512), status)
--- a/coltsgateway/forward_demand.go
+++ b/coltsgateway/forward_demand.go
@@ -4,8 +4,6 @@
 // this instance knows of.
 
 import (
-	"time"
-
 	"coltsfootstall/coltsbalance"
 	"coltsfootstall/coltsforward"
 	"coltsfootstall/coltsidentity"
@@ -46,16 +44,10 @@
 	return service.Store.DataCentre
 }
 
-// weightsMargin is how long before the grace period of a named version ends requests are no longer
-// sent to runners without that version, because a request may be queued at the runner before it
-// begins.
-const weightsMargin = time.Second
-
 // minWeightsVersion returns the lowest weights version that may serve the request, 0 for any.
 func (f *forwarding) minWeightsVersion() coltsweights.Number {
-	grace := f.g.settings.WeightsGracePeriod
-	if grace == 0 {
-		return 0
-	}
-	return f.g.weights.NamedAsOf(f.lifecycle.Inbound.Model, f.g.now().Add(weightsMargin-grace))
+	now := f.g.now()
+	return f.g.weights.Required(f.lifecycle.Inbound.Model, coltsweights.Limit{
+		GracePeriod: f.g.settings.WeightsGracePeriod, StartWithin: f.lifecycle.StartWithin(now),
+	}, now)
 }
--- a/coltsgateway/forward_request.go
+++ b/coltsgateway/forward_request.go
@@ -12,6 +12,7 @@
 
 	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltsbalance"
+	"coltsfootstall/coltsbuffer"
 	"coltsfootstall/coltsforward"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltsmetric"
@@ -19,6 +20,10 @@
 	"coltsfootstall/coltsstore"
 )
 
+// writeGrace is how long after its deadline a request's last bytes may wait for the caller to read
+// them. The final response to a request that reached its deadline is sent in that time.
+const writeGrace = 200 * time.Millisecond
+
 // forwarding is one request in progress.
 type forwarding struct {
 	g    *Gateway
@@ -53,6 +58,8 @@
 	waited time.Duration
 	// tried are the upstreams of the attempts so far, in order.
 	tried []coltsidentity.Upstream
+	// buffered is what the response takes of the memory for buffers.
+	buffered *coltsbuffer.Share
 }
 
 // serve serves the request and reports whether the connection can serve another.
@@ -70,6 +77,8 @@
 		return f.refuseError(incoming.ID, err)
 	}
 	f.lastEventID = incoming.LastEventID
+	f.conn.nc.SetWriteLimit(f.lifecycle.Deadline().Add(writeGrace))
+	defer f.conn.nc.SetWriteLimit(time.Time{})
 	if refused := f.quarantineRefusal(now); refused != nil {
 		return f.refuse(incoming.ID, refused)
 	}
@@ -81,7 +90,8 @@
 	f.conn.nc.StopWatch()
 	f.clearSuspicion()
 	f.report(ctx)
-	return reusable && !f.g.draining.Load()
+	// During a shutdown too, only a connection whose caller was told so is closed here.
+	return reusable
 }
 
 // runAttempts makes attempts until one ends the request, and reports whether the connection can
@@ -144,17 +154,19 @@
 	}
 	f.g.metrics.Add(coltsmetric.Attempts, 1)
 	f.lifecycle.CountAttempt(choice.Upstream.ID)
+	outcome := coltsbalance.OutcomeNeutral
+	defer func() {
+		f.g.balancer.Done(f.choice, outcome, f.g.now())
+		f.g.capacityFreed.Broadcast()
+	}()
 	failure := f.exchange(ctx)
-	choice = f.choice
-	outcome := coltsbalance.OutcomeAnswered
+	outcome = coltsbalance.OutcomeAnswered
 	if failure != nil {
 		outcome = failure.outcome
 		if failure.misdirected {
 			f.lifecycle.UncountAttempt()
 		}
 	}
-	f.g.balancer.Done(choice, outcome, f.g.now())
-	f.g.capacityFreed.Broadcast()
 	return failure
 }
 
--- a/coltsgateway/forward_stream.go
+++ b/coltsgateway/forward_stream.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"io"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -58,7 +59,11 @@
 		if len(s.buffer) >= maxEventBytes {
 			return false, errors.Errorf("an event has more than %d bytes", maxEventBytes)
 		}
-		s.buffer = append(s.buffer, 0)[:len(s.buffer)]
+		if err := s.f.buffered.Grow(2 * cap(s.buffer)); err != nil {
+			s.f.countExhausted(err)
+			return false, err
+		}
+		s.buffer = slices.Grow(s.buffer, cap(s.buffer))
 	}
 	n, err := s.x.body.Read(s.buffer[len(s.buffer):cap(s.buffer)])
 	s.buffer = s.buffer[:len(s.buffer)+n]
--- a/coltsgateway/gateway.go
+++ b/coltsgateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltsbalance"
+	"coltsfootstall/coltsbuffer"
 	"coltsfootstall/coltslink"
 	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsloop"
@@ -72,7 +73,9 @@
 	// suspects are the requests that crashed upstreams, as seen by this or other instances.
 	suspects *coltsattempt.Quarantine
 	pool     *coltspool.Pool
-	watcher  *controlWatcher
+	// buffers bounds the memory for bodies that are buffered.
+	buffers *coltsbuffer.Budget
+	watcher *controlWatcher
 	// seeds are the addresses used to find control; Reload replaces them.
 	seeds atomic.Pointer[[]netip.AddrPort]
 	// instances is the number of entry instances that share the retry budget.
@@ -88,8 +91,13 @@
 	ctx        context.Context
 	stop       context.CancelFunc
 	background sync.WaitGroup
-	requests   sync.WaitGroup
-	draining   atomic.Bool
+	// accepting ends when no more connections are accepted, callers when all that were accepted
+	// have ended.
+	accepting sync.WaitGroup
+	callers   sync.WaitGroup
+	// draining is set when a shutdown begins, closing once no more connections are accepted.
+	draining atomic.Bool
+	closing  atomic.Bool
 }
 
 // New returns a gateway instance that is not started.
@@ -126,6 +134,7 @@
 			UnbufferedWrites: true,
 			Dial:             dialUpstream,
 		}),
+		buffers: coltsbuffer.NewBudget(cfg.Settings.Gateway.BufferBytes),
 	}
 	g.instances.Store(1)
 	g.seeds.Store(&g.settings.Seeds)
@@ -155,13 +164,14 @@
 		}
 		*l.target = ln
 	}
+	g.callerListener = coltswatch.NewListener(g.callerListener)
 	g.ctx, g.stop = context.WithCancel(context.Background())
-	g.readyServer = &fasthttp.Server{Handler: g.serveReady, NoDefaultServerHeader: true}
-	g.operatorServer = &fasthttp.Server{Handler: g.serveOperator, Name: "coltsfootstall"}
+	g.readyServer = &fasthttp.Server{Handler: g.guard(g.serveReady), NoDefaultServerHeader: true}
+	g.operatorServer = &fasthttp.Server{Handler: g.guard(g.serveOperator), Name: "coltsfootstall"}
 	go g.serve(g.readyServer, g.readyListener)
 	go g.serve(g.operatorServer, g.operatorListener)
 	g.background.Go(func() { g.watcher.run(g.ctx) })
-	g.background.Go(func() { g.accept(coltswatch.NewListener(g.callerListener)) })
+	g.accepting.Go(g.accept)
 	g.log.Info("Started.", coltslog.Fields{"callers": g.CallerAddr(), "operators": g.OperatorAddr()})
 	return nil
 }
--- a/coltsgateway/gateway_operator.go
+++ b/coltsgateway/gateway_operator.go
@@ -4,6 +4,9 @@
 
 import (
 	"github.com/valyala/fasthttp"
+
+	"coltsfootstall/coltslog"
+	"coltsfootstall/coltsmetric"
 )
 
 // isReady reports whether the instance can serve callers: it has a route table and is not
@@ -12,6 +15,19 @@
 	return !g.draining.Load() && g.routes.Current() != nil
 }
 
+// guard returns a handler that answers with an error if handler panics.
+func (g *Gateway) guard(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		defer func() {
+			g.log.HandlePanic(recover(), coltslog.Fields{"path": string(ctx.Path())}, func() {
+				g.metrics.Add(coltsmetric.Panics, 1)
+				ctx.Error("unexpected error", fasthttp.StatusInternalServerError)
+			})
+		}()
+		handler(ctx)
+	}
+}
+
 func (g *Gateway) serveReady(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) != g.dialect.ReadyPath {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
--- a/coltsgateway/gateway_shutdown.go
+++ b/coltsgateway/gateway_shutdown.go
@@ -1,8 +1,9 @@
 package coltsgateway
 
 // On shutdown, a gateway first fails its readiness check but keeps serving until the load
-// balancer has noticed. Then it closes idle connections, lets responses in progress finish,
-// and stops before its grace period ends.
+// balancer has noticed. Then it accepts what is waiting at its listener and nothing more, serves
+// the requests that have reached it, closes the connections, and stops before its grace period
+// ends.
 
 import (
 	"time"
@@ -14,6 +15,8 @@
 	// drainDelay is how long new connections are accepted after the readiness check begins to
 	// fail. The load balancer checks once a second and acts on the second failure.
 	drainDelay = 2500 * time.Millisecond
+	// maxDrainShare is the largest share of the grace period that this may take.
+	maxDrainShare = 0.4
 	// exitMargin is how long before the end of the grace period the process stops, so that it
 	// exits by itself instead of being killed.
 	exitMargin = 300 * time.Millisecond
@@ -21,17 +24,20 @@
 
 // Shutdown stops the instance gracefully.
 func (g *Gateway) Shutdown() error {
-	endBy := g.now().Add(g.settings.ShutdownGracePeriod - exitMargin)
+	grace := g.settings.ShutdownGracePeriod
+	endBy := g.now().Add(grace - exitMargin)
 	g.draining.Store(true)
 	g.log.Info("Stopping.", coltslog.Fields{
 		"connections": g.openConns.count(), "end-by": endBy.Format(time.RFC3339Nano),
 	})
-	time.Sleep(drainDelay)
+	time.Sleep(min(drainDelay, time.Duration(maxDrainShare*float64(grace))))
 	_ = g.callerListener.Close() // on an error too, no further connections are accepted
+	g.accepting.Wait()
+	g.closing.Store(true)
 	g.openConns.closeIdle()
 	done := make(chan struct{})
 	go func() {
-		g.requests.Wait()
+		g.callers.Wait()
 		close(done)
 	}()
 	timer := time.NewTimer(endBy.Sub(g.now()))
--- a/coltsgateway/upstream_body.go
+++ b/coltsgateway/upstream_body.go
@@ -8,8 +8,11 @@
 	"bytes"
 	"io"
 	"net/http/httputil"
+	"slices"
 
 	"github.com/pkg/errors"
+
+	"coltsfootstall/coltsbuffer"
 )
 
 // Values that fasthttp reports as the content length of a body without one.
@@ -70,11 +73,15 @@
 	return n, io.EOF
 }
 
+// maxTrailerBytes bounds the trailer lines of a body.
+const maxTrailerBytes = 16 << 10
+
 // skipTrailer reads the trailer lines after the last chunk, including the empty line that ends
 // them.
 func skipTrailer(br *bufio.Reader) error {
-	for {
+	for n := 0; n <= maxTrailerBytes; {
 		line, err := br.ReadSlice('\n')
+		n += len(line)
 		if errors.Is(err, io.EOF) {
 			return io.ErrUnexpectedEOF
 		}
@@ -85,17 +92,38 @@
 			return nil
 		}
 	}
+	return errors.Errorf("the trailer has more than %d bytes", maxTrailerBytes)
+}
+
+// discard reads the rest of the body and keeps nothing of it. It fails if the body is longer than
+// limit bytes.
+func (b *body) discard(limit int) error {
+	n, err := io.CopyN(io.Discard, b, int64(limit)+1)
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	if err == nil {
+		err = errors.Errorf("the body has %d bytes or more", n)
+	}
+	return err
 }
 
-// readAll reads the rest of the body. It fails if the body is longer than limit bytes.
-func (b *body) readAll(limit int) ([]byte, error) {
+// readAll reads the rest of the body. It fails if the body is longer than limit bytes or does not
+// fit into the memory for buffers, of which share is the part that the body takes.
+func (b *body) readAll(limit int, share *coltsbuffer.Share) ([]byte, error) {
 	if b.framing > limit {
 		return nil, errors.Errorf("the body has %d bytes, more than %d", b.framing, limit)
 	}
+	if err := share.Grow(b.framing); err != nil {
+		return nil, err
+	}
 	content := make([]byte, 0, max(b.framing, 512))
 	for {
 		if len(content) == cap(content) {
-			content = append(content, 0)[:len(content)]
+			if err := share.Grow(2 * cap(content)); err != nil {
+				return nil, err
+			}
+			content = slices.Grow(content, cap(content))
 		}
 		n, err := b.Read(content[len(content):cap(content)])
 		content = content[:len(content)+n]
--- a/coltsgateway/upstream_exchange.go
+++ b/coltsgateway/upstream_exchange.go
@@ -7,13 +7,16 @@
 	"context"
 	"fmt"
 	"net"
+	"net/netip"
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltsbalance"
+	"coltsfootstall/coltsbuffer"
 	"coltsfootstall/coltspool"
 )
 
@@ -21,6 +24,10 @@
 	// maxStrayResponses bounds the responses to other requests that are skipped on one connection
 	// while waiting for the right one.
 	maxStrayResponses = 2
+	// maxStrayBytes bounds the body of such a response.
+	maxStrayBytes = 1 << 20
+	// maxInterimResponses bounds the interim (1xx) responses that are skipped before a response.
+	maxInterimResponses = 8
 	// maxBufferedBytes bounds a response that is buffered in full before it is passed on.
 	maxBufferedBytes = 8 << 20
 	// idleTimeoutMargin is subtracted from the idle timeout that an upstream announces for a
@@ -81,9 +88,7 @@
 	ctx context.Context, choice coltsbalance.Choice, out outgoingRequest,
 ) (*exchange, *attemptError) {
 	addr := choice.Upstream.Addr
-	dialCtx, cancel := context.WithDeadline(ctx, out.deadline)
-	conn, err := g.pool.Get(dialCtx, addr, false)
-	cancel()
+	conn, err := g.connect(ctx, addr, out)
 	if err != nil {
 		outcome := coltsbalance.OutcomeFailed
 		if ctx.Err() != nil {
@@ -105,6 +110,25 @@
 	return x, nil
 }
 
+// connect returns a connection to an upstream on which responses can be matched with the request: a
+// connection that has just carried a request with the same ID may still receive a second copy of
+// the response to that one.
+func (g *Gateway) connect(ctx context.Context, addr netip.AddrPort, out outgoingRequest) (*coltspool.Conn, error) {
+	ctx, cancel := context.WithDeadline(ctx, out.deadline)
+	defer cancel()
+	for {
+		conn, err := g.pool.Get(ctx, addr, false)
+		if err != nil {
+			return nil, err
+		}
+		if out.id == "" || conn.RequestID != out.id {
+			conn.RequestID = out.id
+			return conn, nil
+		}
+		g.pool.Drop(conn)
+	}
+}
+
 // send writes the head and body of the request with a single vectored write.
 func (x *exchange) send(out outgoingRequest) *attemptError {
 	if err := x.conn.SetDeadline(out.deadline); err != nil {
@@ -142,15 +166,20 @@
 		if failure := x.readHead(out); failure != nil {
 			return failure
 		}
-		if x.meta.RequestID == "" || x.meta.RequestID == out.id {
+		if x.meta.RequestID == out.id || x.meta.RequestID == "" && !x.conn.Reused && stray == 0 {
 			x.reusable = stray == 0 && !x.resp.ConnectionClose()
 			return x.checkHead()
 		}
+		if x.meta.RequestID == "" {
+			// On a connection that carried other requests it may be a late response to one of those.
+			return newAttemptError(coltsattempt.PhaseSent, coltsbalance.OutcomeAnswered,
+				"upstream %s answered status %d without the ID of a request", x.choice.Upstream.ID, x.resp.StatusCode())
+		}
 		if stray == maxStrayResponses {
 			return newAttemptError(coltsattempt.PhaseSent, coltsbalance.OutcomeFailed,
 				"upstream %s answered only other requests", x.choice.Upstream.ID)
 		}
-		if _, err := x.body.readAll(maxBufferedBytes); err != nil || x.body.framing == framingUntilClose {
+		if err := x.body.discard(maxStrayBytes); err != nil || x.body.framing == framingUntilClose {
 			return newAttemptError(coltsattempt.PhaseSent, coltsbalance.OutcomeFailed,
 				"upstream %s answered request %s instead, and the body could not be skipped",
 				x.choice.Upstream.ID, x.meta.RequestID)
@@ -160,17 +189,20 @@
 
 // readHead reads one head, skipping interim (1xx) responses.
 func (x *exchange) readHead(out outgoingRequest) *attemptError {
-	for {
+	for interim := 0; ; interim++ {
 		x.resp.Reset()
 		x.resp.DisableNormalizing()
 		x.resp.SetNoDefaultContentType(true)
 		if err := x.resp.Read(x.conn.Reader); err != nil {
 			return x.readFailure(coltsattempt.PhaseSent, err)
 		}
-		if status := x.resp.StatusCode(); status < 200 {
-			continue
+		if x.resp.StatusCode() >= fasthttp.StatusOK {
+			break
+		}
+		if interim == maxInterimResponses {
+			return newAttemptError(coltsattempt.PhaseSent, coltsbalance.OutcomeFailed,
+				"upstream %s sent more than %d interim responses", x.choice.Upstream.ID, maxInterimResponses)
 		}
-		break
 	}
 	framing := x.resp.ContentLength()
 	status := x.resp.StatusCode()
@@ -188,6 +220,11 @@
 		return newAttemptError(phase, coltsbalance.OutcomeFailed,
 			"upstream %s did not answer in time", x.choice.Upstream.ID)
 	}
+	var exhausted *coltsbuffer.ExhaustedError
+	if errors.As(err, &exhausted) {
+		return newAttemptError(phase, coltsbalance.OutcomeAnswered,
+			"the response from %s can't be buffered: %v", x.choice.Upstream.ID, err)
+	}
 	f := newAttemptError(phase, x.connectionOutcome(),
 		"response from %s was interrupted: %v", x.choice.Upstream.ID, err)
 	f.connectionLost = isDisconnect(err)
--- a/coltsmetric/metric_table.go
+++ b/coltsmetric/metric_table.go
@@ -52,6 +52,8 @@
 	FailedUnknown          = Metric{"failed-unknown", "requests", "requests that failed and may have run"}
 	StreamsBroken          = Metric{"streams-broken", "streams", "streams that ended before their last event"}
 	RequestsAtHome         = Metric{"requests-at-home", "requests", "requests sent to the runner that their shared parts lead to"}
+	Panics                 = Metric{"unexpected-errors", "errors", "requests and loops ended by a panic; the log has the stacks"}
+	BuffersExhausted       = Metric{"buffers-exhausted", "messages", "messages given up because the memory for buffers was used up"}
 	LogLinesDropped        = Metric{"log-lines-dropped", "lines", "log lines dropped because their reader was too slow"}
 	Commands               = Metric{"commands", "commands", "commands applied"}
 	JournalSyncs           = Metric{"journal-syncs", "syncs", "syncs of the journal"}
@@ -63,7 +65,7 @@
 	Requests, Refused, RequestsUnderWay, CallerDisconnects, Attempts, Retries, Resumes, WrongRequestIDs, SilentConnections,
 	StreamedParts, TokensComputed, TokensReused, FirstTokenMicros, FirstTokens, Lookups, Exports, ExportsFailed,
 	Announcements, UntrustedAnnouncements, Upstreams, CacheEvents, Grants, Replays, SettleRetries, Revision, LastContactMillis,
-	RoutesVersion, WatchFailures, RefusedNotRun, FailedUnknown, StreamsBroken, RequestsAtHome, LogLinesDropped,
+	RoutesVersion, WatchFailures, RefusedNotRun, FailedUnknown, StreamsBroken, RequestsAtHome, Panics, BuffersExhausted, LogLinesDropped,
 	UsageBatches, Commands, JournalSyncs, Snapshots,
 }
 
--- a/coltspool/pool.go
+++ b/coltspool/pool.go
@@ -44,6 +44,9 @@
 	ExpiresAt time.Time
 	// Reused is set once the connection has been in the pool, so it may have carried a request.
 	Reused bool
+	// RequestID is the ID of the newest request sent on the connection, empty if unknown. Only the
+	// user of the connection reads and sets it.
+	RequestID string
 	// idleSince is when the connection was last returned to the pool.
 	idleSince time.Time
 }
--- a/coltsstore/store_catalogue.go
+++ b/coltsstore/store_catalogue.go
@@ -8,9 +8,10 @@
 package coltsstore
 
 // The leader keeps the catalogue in memory only. It is rebuilt from the stores
-// themselves whenever the leader changes or a store restarts. Followers ask for the
-// changes after a revision, so the newest changes are kept in a log. The catalogue is not
-// divided into shards: a handful of stores make a few hundred changes a second.
+// themselves whenever the leader changes or a store restarts, and is complete once every
+// store has been listed or has failed to answer. Followers ask for the changes after a
+// position in the change log. The catalogue is not divided into shards: a handful of stores
+// make a few hundred changes a second.
 
 import (
 	"cmp"
@@ -22,9 +23,6 @@
 )
 
 const (
-	// changeLogSize is the number of changes that remain when the change log is
-	// trimmed, which happens at twice this number.
-	changeLogSize = 8192
 	// highWatermark is the share of a store's capacity, from 0 to 1, at which the store
 	// counts as full. Eviction then retires parts until the share is below lowWatermark.
 	highWatermark = 0.92
@@ -68,10 +66,21 @@
 	freeAt time.Time
 }
 
+// storeStatus is what is known about a store.
+type storeStatus int
+
+const (
+	// statusPending means that the store's content is not known yet.
+	statusPending storeStatus = iota
+	statusListed
+	// statusFailed means that the store did not answer.
+	statusFailed
+)
+
 // storeState is the content of one store.
 type storeState struct {
-	// capacity and used are in tokens; used includes retired parts. A capacity of zero
-	// means that it is not known yet.
+	status storeStatus
+	// capacity and used are in tokens; used includes retired parts.
 	capacity int
 	used     int
 	parts    map[Key]storedPart
@@ -81,26 +90,44 @@
 
 // Catalogue records what the stores hold. It is safe for concurrent use.
 type Catalogue struct {
-	mu sync.Mutex
-	// revision is incremented by every change.
-	revision uint64
-	stores   map[coltsidentity.Service]*storeState
-	// changes holds the newest changes, the oldest first; the last one has the current
-	// revision.
-	changes []Change
+	mu     sync.Mutex
+	stores map[coltsidentity.Service]*storeState
+	// following is set while the set of stores is known.
+	following bool
+	log       changeLog
 }
 
 // NewCatalogue returns a catalogue without stores.
 func NewCatalogue() *Catalogue {
-	// Revision 0 is reserved for a follower that has received nothing yet.
-	return &Catalogue{stores: map[coltsidentity.Service]*storeState{}, revision: 1}
+	return &Catalogue{stores: map[coltsidentity.Service]*storeState{}, log: newChangeLog()}
 }
 
-// SetCapacity sets the capacity of a store in tokens and adds the store if it is not known.
-func (c *Catalogue) SetCapacity(store coltsidentity.Service, capacity int) {
+// Follow sets the stores that the catalogue covers, with their capacities in tokens. Others are
+// removed with their parts. New ones are pending until they have been listed.
+func (c *Catalogue) Follow(capacities map[coltsidentity.Service]int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.storeLocked(store).capacity = capacity
+	c.following = true
+	for store, s := range c.stores {
+		if _, covered := capacities[store]; !covered {
+			c.clearLocked(store, s)
+			delete(c.stores, store)
+		}
+	}
+	for store, capacity := range capacities {
+		c.storeLocked(store).capacity = capacity
+	}
+}
+
+// Abandon removes all stores, as when this instance no longer leads.
+func (c *Catalogue) Abandon() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for store, s := range c.stores {
+		c.clearLocked(store, s)
+	}
+	clear(c.stores)
+	c.following = false
 }
 
 // storeLocked returns the state of a store and adds the store if it is not known.
@@ -113,29 +140,91 @@
 	return s
 }
 
-// Reset removes all parts of a store, as when the store has restarted or can't be reached.
-func (c *Catalogue) Reset(store coltsidentity.Service) {
+// Reset removes all parts of a store, whose content is not known until it is listed.
+func (c *Catalogue) Reset(store coltsidentity.Service) { c.setStatus(store, statusPending) }
+
+// MarkFailed removes all parts of a store that does not answer. Until it is listed, it counts as
+// having no room either.
+func (c *Catalogue) MarkFailed(store coltsidentity.Service) { c.setStatus(store, statusFailed) }
+
+func (c *Catalogue) setStatus(store coltsidentity.Service, status storeStatus) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, known := c.stores[store]
+	if !known {
+		return
+	}
+	c.clearLocked(store, s)
+	s.status = status
+}
+
+// SetListed replaces the content of a store by the parts of a listing. Parts that stay the same,
+// retired ones too, cause no change.
+func (c *Catalogue) SetListed(store coltsidentity.Service, parts map[Key]int, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.storeLocked(store)
+	s.status = statusListed
 	for key := range s.parts {
-		c.appendChangeLocked(Change{Store: store, Key: key})
+		if _, held := parts[key]; !held {
+			c.removeLocked(store, s, key)
+		}
+	}
+	for key, tokens := range parts {
+		c.addLocked(store, s, key, tokens, now)
+	}
+}
+
+// clearLocked removes all parts of a store.
+func (c *Catalogue) clearLocked(store coltsidentity.Service, s *storeState) {
+	for key := range s.parts {
+		c.log.append(Change{Store: store, Key: key})
 	}
 	s.parts, s.used, s.partials = map[Key]storedPart{}, 0, nil
 }
 
+// Complete reports whether every store has been listed or has failed to answer, so that a part
+// that the catalogue lacks is in no store that can be reached.
+func (c *Catalogue) Complete() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.stores {
+		if s.status == statusPending {
+			return false
+		}
+	}
+	return c.following
+}
+
+// Usable returns the stores that have been listed and answer, sorted.
+func (c *Catalogue) Usable() []coltsidentity.Service {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var usable []coltsidentity.Service
+	for store, s := range c.stores {
+		if s.status == statusListed {
+			usable = append(usable, store)
+		}
+	}
+	slices.Sort(usable)
+	return usable
+}
+
 // Add records that a store holds a complete part. A part that was retired stays retired.
 func (c *Catalogue) Add(store coltsidentity.Service, key Key, tokens int, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := c.storeLocked(store)
+	c.addLocked(store, c.storeLocked(store), key, tokens, now)
+}
+
+func (c *Catalogue) addLocked(store coltsidentity.Service, s *storeState, key Key, tokens int, now time.Time) {
 	old, exists := s.parts[key]
 	if exists && old.tokens == tokens {
 		return
 	}
 	s.used += tokens - old.tokens
 	s.parts[key] = storedPart{tokens: tokens, usedAt: now, freeAt: old.freeAt}
-	c.appendChangeLocked(changeFor(store, key, s.parts[key]))
+	c.log.append(changeFor(store, key, s.parts[key]))
 }
 
 // changeFor returns the change that describes the current state of a part.
@@ -162,23 +251,17 @@
 func (c *Catalogue) Remove(store coltsidentity.Service, key Key) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := c.storeLocked(store)
+	c.removeLocked(store, c.storeLocked(store), key)
+}
+
+func (c *Catalogue) removeLocked(store coltsidentity.Service, s *storeState, key Key) {
 	part, exists := s.parts[key]
 	if !exists {
 		return
 	}
 	s.used -= part.tokens
 	delete(s.parts, key)
-	c.appendChangeLocked(Change{Store: store, Key: key})
-}
-
-// appendChangeLocked increments the revision and appends a change to the change log.
-func (c *Catalogue) appendChangeLocked(change Change) {
-	c.revision++
-	c.changes = append(c.changes, change)
-	if len(c.changes) >= 2*changeLogSize {
-		c.changes = slices.Clone(c.changes[len(c.changes)-changeLogSize:])
-	}
+	c.log.append(Change{Store: store, Key: key})
 }
 
 // Retire chooses the parts of a store that are to be evicted and returns their number. It
@@ -206,7 +289,7 @@
 			candidates = append(candidates, key)
 		}
 	}
-	if s.capacity == 0 || c.anyStoreHasRoomLocked() {
+	if s.status != statusListed || c.anyStoreHasRoomLocked() {
 		return retired
 	}
 	slices.SortFunc(candidates, func(a, b Key) int {
@@ -226,11 +309,11 @@
 	return retired
 }
 
-// anyStoreHasRoomLocked reports whether a store is below its high watermark. While one
-// is, new parts go there and nothing has to be evicted.
+// anyStoreHasRoomLocked reports whether a store that can be used is below its high watermark.
+// While one is, new parts go there and nothing has to be evicted.
 func (c *Catalogue) anyStoreHasRoomLocked() bool {
 	for _, s := range c.stores {
-		if float64(s.used) < highWatermark*float64(s.capacity) {
+		if s.status == statusListed && float64(s.used) < highWatermark*float64(s.capacity) {
 			return true
 		}
 	}
@@ -241,7 +324,7 @@
 	part := s.parts[key]
 	part.freeAt = now.Add(RetireDelay)
 	s.parts[key] = part
-	c.appendChangeLocked(changeFor(store, key, part))
+	c.log.append(changeFor(store, key, part))
 }
 
 // Freeable returns the retired parts of a store that may be freed now.
@@ -264,19 +347,9 @@
 	return c.storeLocked(store).used
 }
 
-// Since returns the changes after a revision and, as upTo, the current revision. If the
-// change log does not reach back that far, the changes describe all parts of all stores
-// instead, and isSnapshot is true.
-func (c *Catalogue) Since(revision uint64) (changes []Change, upTo uint64, isSnapshot bool) {
+// Since returns the changes after a position, at most limit of them.
+func (c *Catalogue) Since(p Position, limit int) Delta {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if missing := c.revision - revision; revision <= c.revision && missing <= uint64(len(c.changes)) && revision > 0 {
-		return slices.Clone(c.changes[len(c.changes)-int(missing):]), c.revision, false
-	}
-	for store, s := range c.stores {
-		for key, part := range s.parts {
-			changes = append(changes, changeFor(store, key, part))
-		}
-	}
-	return changes, c.revision, true
+	return c.log.since(p, limit)
 }
--- a/coltsstore/store_directory.go
+++ b/coltsstore/store_directory.go
@@ -27,8 +27,10 @@
 	shards [coltsshard.Count]directoryShard
 	// confirmedUntil is when the last confirmation expires; nil before the first one.
 	confirmedUntil atomic.Pointer[time.Time]
-	usage          storeUsage
-	fetches        fetchLog
+	// usable are the stores that can be used; nil while they are not known.
+	usable  atomic.Pointer[map[coltsidentity.Service]bool]
+	usage   storeUsage
+	fetches fetchLog
 }
 
 type directoryShard struct {
@@ -129,6 +131,21 @@
 	d.confirmedUntil.Store(&until)
 }
 
+// SetUsable sets the stores that can be used. Parts are saved only to these.
+func (d *Directory) SetUsable(stores []coltsidentity.Service) {
+	usable := make(map[coltsidentity.Service]bool, len(stores))
+	for _, store := range stores {
+		usable[store] = true
+	}
+	d.usable.Store(&usable)
+}
+
+// canUse reports whether a store can be used.
+func (d *Directory) canUse(store coltsidentity.Service) bool {
+	usable := d.usable.Load()
+	return usable != nil && (*usable)[store]
+}
+
 // isConfirmed reports whether the copy is recent enough to be used.
 func (d *Directory) isConfirmed(now time.Time) bool {
 	until := d.confirmedUntil.Load()
--- a/coltsstore/store_plan.go
+++ b/coltsstore/store_plan.go
@@ -131,7 +131,7 @@
 ) (coltsidentity.Service, bool) {
 	best, bestScore, found := coltsidentity.Service(""), uint64(0), false
 	for _, s := range stores {
-		if !eligible(s) || !d.hasRoom(s, part.Tokens) {
+		if !eligible(s) || !d.canUse(s.Name) || !d.hasRoom(s, part.Tokens) {
 			continue
 		}
 		if score := coltsshard.RendezvousScore([]byte(part.Key.Part), s.Name); !found || score > bestScore {
--- a/coltstrade/trade_gateway.go
+++ b/coltstrade/trade_gateway.go
@@ -19,6 +19,8 @@
 const (
 	// syncPeriod is the interval at which a gateway exchanges loads and catalogue changes.
 	syncPeriod = 100 * time.Millisecond
+	// maxStoreChanges is the greatest number of catalogue changes received at once.
+	maxStoreChanges = 1500
 	// storeEventDelay is the time from the end of a save until the catalogue lists the part.
 	storeEventDelay = 80 * time.Millisecond
 	// networkDelay is the one-way delay between two instances.
@@ -36,9 +38,9 @@
 	id       coltsidentity.Instance
 	balancer *coltsbalance.Balancer
 	queue    *coltsbalance.Queue
-	// stores is the gateway's copy of the catalogue, up to date as of revision.
+	// stores is the gateway's copy of the catalogue, up to date as of position.
 	stores   *coltsstore.Directory
-	revision uint64
+	position coltsstore.Position
 	queued   []*queuedRequest
 }
 
@@ -63,14 +65,17 @@
 	now := g.sim.scheduler.now
 	g.sim.loads.Report(g.id, g.balancer.Loads(), now)
 	g.balancer.SetPeerLoads(g.sim.loads.Others(g.id, now), now)
-	changes, upTo, isSnapshot := g.sim.catalogue.Since(g.revision)
-	if isSnapshot {
-		g.stores.Clear()
-	}
-	for _, c := range changes {
-		g.stores.Apply(c)
+	for more := true; more; {
+		delta := g.sim.catalogue.Since(g.position, maxStoreChanges)
+		if delta.IsStart {
+			g.stores.Clear()
+		}
+		for _, c := range delta.Changes {
+			g.stores.Apply(c)
+		}
+		g.position, more = delta.Position, delta.More
 	}
-	g.revision = upTo
+	g.stores.SetUsable(g.sim.catalogue.Usable())
 	g.stores.Confirm(now)
 	for _, fetch := range g.stores.TakeFetches() {
 		g.sim.catalogue.MarkFetched(fetch.Store, fetch.Key, now)
--- a/coltstrade/trade_simulation.go
+++ b/coltstrade/trade_simulation.go
@@ -111,14 +111,19 @@
 // build creates the stores, the runners and the gateways.
 func (sim *simulation) build(seed uint64) {
 	var stores []*managedStore
+	capacities := map[coltsidentity.Service]int{}
 	for _, kind := range sim.scenario.Stores {
 		for i := range kind.Count {
 			st := newStore(fmt.Sprint(kind.Name, i), kind, sim.dataCentre(i))
 			stores = append(stores, st)
 			sim.stores[st.service.Name] = st
-			sim.catalogue.SetCapacity(st.service.Name, kind.CacheTokens)
+			capacities[st.service.Name] = kind.CacheTokens
 		}
 	}
+	sim.catalogue.Follow(capacities)
+	for store := range capacities {
+		sim.catalogue.SetListed(store, nil, sim.scheduler.now)
+	}
 	sim.index = newIndex(sim.scenario, sim.engine, stores)
 	for i := range sim.scenario.Gateways {
 		random := rand.New(rand.NewPCG(seed, uint64(2+i)))
--- a/coltsupstream/upstream_client.go
+++ b/coltsupstream/upstream_client.go
@@ -22,6 +22,7 @@
 	"github.com/valyala/fasthttp"
 
 	"coltsfootstall/coltsattempt"
+	"coltsfootstall/coltsbuffer"
 	"coltsfootstall/coltscache"
 	"coltsfootstall/coltscodec"
 	"coltsfootstall/coltsidentity"
@@ -32,8 +33,12 @@
 // this many times in each SilenceTimeout.
 const deadlineStepsPerTimeout = 4
 
-// maxAnswerBytes is the maximum size of an answer that is not streamed.
-const maxAnswerBytes = 64 << 20
+const (
+	// maxAnswerBytes is the maximum size of an answer that is not streamed.
+	maxAnswerBytes = 64 << 20
+	// defaultBufferBytes is the default memory for all such answers together.
+	defaultBufferBytes = 128 << 20
+)
 
 // Config is the configuration of a client.
 type Config struct {
@@ -46,6 +51,8 @@
 	SilenceTimeout time.Duration
 	// ProbeTimeout bounds the probe of an idle connection. It has no default.
 	ProbeTimeout time.Duration
+	// Buffers bounds the memory for answers that are not streamed; nil for defaultBufferBytes.
+	Buffers *coltsbuffer.Budget
 	// OnUnresponsive is called with the upstream's address whenever a connection was found
 	// unresponsive; nil for none.
 	OnUnresponsive func(addr netip.AddrPort)
@@ -65,6 +72,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.Buffers == nil {
+		cfg.Buffers = coltsbuffer.NewBudget(defaultBufferBytes)
+	}
 	if cfg.OnWrongRequestID == nil {
 		cfg.OnWrongRequestID = func(netip.AddrPort) {}
 	}
@@ -97,6 +107,8 @@
 	// NotRepeatable is set if the request must not be sent twice. It is then sent only over a
 	// connection that is new or has just answered a probe.
 	NotRepeatable bool
+	// OnSent is called once the whole request has been written to its connection; nil for none.
+	OnSent func()
 	// NoHeartbeats is set if the upstream sends no heartbeats while it works, so that
 	// SilenceTimeout does not apply and only Deadline ends the wait for the response.
 	NoHeartbeats bool
@@ -197,6 +209,9 @@
 		return newFailure(coltsattempt.PhaseSent, x.hasCrashed(),
 			"sending the request to upstream %s failed: %v", x.req.Addr, err)
 	}
+	if x.req.OnSent != nil {
+		x.req.OnSent()
+	}
 	return nil
 }
 
@@ -330,9 +345,16 @@
 		return x.resp.Body(), nil
 	}
 	buffer := make([]byte, coltspool.BufferBytes)
+	share := x.client.cfg.Buffers.NewShare()
+	defer share.Release()
 	for len(body) <= maxAnswerBytes {
 		x.extendReadDeadline()
 		n, err := stream.Read(buffer)
+		// Growing a slice at most doubles its memory.
+		if growErr := share.Grow(2 * (len(body) + n)); growErr != nil {
+			return nil, newFailure(coltsattempt.PhaseSent, false,
+				"the response of upstream %s can't be buffered: %v", x.req.Addr, growErr)
+		}
 		body = append(body, buffer[:n]...)
 		if isEnd(err) {
 			x.complete = true
--- a/coltsupstream/upstream_stream.go
+++ b/coltsupstream/upstream_stream.go
@@ -149,9 +149,7 @@
 func (s *Stream) parse(line []byte) (Event, bool, *Failure) {
 	switch {
 	case bytes.Equal(line, doneLine):
-		if err := s.drain(); err != nil {
-			return Event{}, false, s.readFailure(err)
-		}
+		s.drain()
 		return Event{Kind: EventEnd}, true, nil
 	case bytes.HasPrefix(line, dataPrefix):
 		return s.parsePart(line)
@@ -184,17 +182,21 @@
 	return fastjson.GetString(data, "id") == string(s.id)
 }
 
+// maxDrainBytes bounds what is read after the final event.
+const maxDrainBytes = 4 << 10
+
 // drain reads the rest of the body after the final event, so that the connection can be
-// reused.
-func (s *Stream) drain() error {
-	_, err := io.Copy(io.Discard, s.br)
-	if err != nil && !isEnd(err) {
-		return errors.Wrap(err, "read end of stream")
-	}
-	s.x.complete = true
-	return nil
+// reused. The answer is complete whatever follows; a connection on which more follows than
+// the end of the body is not reused.
+func (s *Stream) drain() {
+	_ = s.x.conn.SetReadDeadline(s.x.client.cfg.Now().Add(drainTimeout)) // the read below reports a closed connection
+	_, err := io.CopyN(io.Discard, s.br, maxDrainBytes)
+	s.x.complete = isEnd(err)
 }
 
+// drainTimeout bounds the wait for the end of the body after the final event.
+const drainTimeout = 100 * time.Millisecond
+
 // isEnd reports whether an error of reading a body stream is its regular end.
 func isEnd(err error) bool {
 	return errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)
--- a/coltswatch/watch_conn.go
+++ b/coltswatch/watch_conn.go
@@ -24,29 +24,13 @@
 	writeDeadlineStep = time.Second
 )
 
-// NewListener returns a listener that accepts connections from ln as *Conn.
-func NewListener(ln net.Listener) net.Listener {
-	return &watchedListener{Listener: ln}
-}
-
-type watchedListener struct {
-	net.Listener
-}
-
-// Accept returns the next connection as a *Conn.
-func (l *watchedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &Conn{Conn: c}, nil
-}
-
 // Conn is a caller's connection. It is used by one goroutine and by its own watch.
 type Conn struct {
 	net.Conn
-	// writeDeadline is the current write deadline; only the writing goroutine uses it.
+	// writeDeadline is the current write deadline, writeLimit the latest time to which it may be
+	// set; zero for none. Only the writing goroutine uses them.
 	writeDeadline time.Time
+	writeLimit    time.Time
 
 	mu sync.Mutex
 	// peeked is a byte that the watch has read; hasPeeked is set if there is one.
@@ -56,11 +40,22 @@
 	done chan struct{}
 }
 
+// SetWriteLimit sets the time after which no write waits any longer for the caller to read; the zero
+// time for no such limit.
+func (c *Conn) SetWriteLimit(limit time.Time) {
+	c.writeLimit = limit
+	// The next write sets the deadline anew.
+	c.writeDeadline = time.Time{}
+}
+
 // Write writes with a timeout of callerWriteTimeout, or up to writeDeadlineStep less if an earlier
-// write has set the deadline.
+// write has set the deadline. It does not wait beyond the write limit.
 func (c *Conn) Write(b []byte) (int, error) {
 	deadline := time.Now().Add(callerWriteTimeout)
-	if deadline.Sub(c.writeDeadline) >= writeDeadlineStep {
+	if !c.writeLimit.IsZero() && c.writeLimit.Before(deadline) {
+		deadline = c.writeLimit
+	}
+	if deadline.Sub(c.writeDeadline) >= writeDeadlineStep || deadline.Equal(c.writeLimit) && !deadline.Equal(c.writeDeadline) {
 		c.writeDeadline = deadline
 		if err := c.SetWriteDeadline(deadline); err != nil {
 			return 0, err
--- a/coltsweights/weights_register.go
+++ b/coltsweights/weights_register.go
@@ -52,11 +52,15 @@
 }
 
 // SetNamed makes n the named version of its model if it is higher than the current one, and
-// reports whether it did.
+// reports whether it did. If n is the current version, the earlier time of naming counts.
 func (r *Register) SetNamed(n NamedVersion) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	previous, known := r.newest[n.Model]
+	if n.Weights == previous.Weights && n.NamedAt.Before(previous.NamedAt) {
+		previous.NamedAt = n.NamedAt
+		r.newest[n.Model] = previous
+	}
 	if n.Number <= previous.Number {
 		return false
 	}
@@ -77,6 +81,31 @@
 	return r.newest[model]
 }
 
+// startMarginShare is the largest share of the grace period for which requests are withheld from
+// runners with older weights before the period ends.
+const startMarginShare = 0.25
+
+// Limit says until when older weights may serve requests.
+type Limit struct {
+	// GracePeriod is the time after the naming of a version at which no request may begin on an
+	// older one any more; 0 for no limit.
+	GracePeriod time.Duration
+	// StartWithin is the time within which a request that is sent now begins, or else its caller
+	// leaves.
+	StartWithin time.Duration
+}
+
+// Required returns the lowest version that a runner must have to be sent a request for a model now,
+// or 0 for any. A request may be queued at its runner until its caller leaves, so it is not sent to
+// a runner on which it could begin too late.
+func (r *Register) Required(model coltsidentity.Model, l Limit, now time.Time) Number {
+	if l.GracePeriod == 0 {
+		return 0
+	}
+	margin := min(l.StartWithin, time.Duration(startMarginShare*float64(l.GracePeriod)))
+	return r.NamedAsOf(model, now.Add(margin-l.GracePeriod))
+}
+
 // NamedAsOf returns the highest version of a model that was named at or before a time, or 0 if
 // there is none. Earlier versions count too: a version may be named before all runners have
 // loaded the previous one, and the time limit for loading a version starts when that version
--- a/coltsweights/weights_test.go
+++ b/coltsweights/weights_test.go
@@ -113,6 +113,34 @@
 		assert.Assert(t, !r.SetNamed(NamedVersion{Weights: Weights{Model: "m", Number: 1}}))
 		assert.Equal(t, r.Wanted("m").Number, Number(2))
 	})
+	t.Run("the earliest known time of naming counts", func(t *testing.T) {
+		r := NewRegister()
+		named := NamedVersion{Weights: Weights{Model: "m", Number: 2}, NamedAt: now}
+		r.SetNamed(named)
+		named.NamedAt = now.Add(-time.Second)
+		assert.Assert(t, !r.SetNamed(named))
+		named.NamedAt = now.Add(time.Second)
+		assert.Assert(t, !r.SetNamed(named))
+		assert.Equal(t, r.Wanted("m").NamedAt, now.Add(-time.Second))
+	})
+	t.Run("older weights get no requests that could begin too late", func(t *testing.T) {
+		r := NewRegister()
+		r.SetNamed(NamedVersion{Weights: Weights{Model: "m", Number: 2}, NamedAt: now})
+		for _, c := range []struct {
+			grace, start, at time.Duration
+			want             Number
+		}{
+			{0, time.Second, time.Hour, 0},
+			{6 * time.Second, time.Second, 4999 * time.Millisecond, 0},
+			{6 * time.Second, time.Second, 5 * time.Second, 2},
+			{6 * time.Second, time.Minute, 4499 * time.Millisecond, 0},
+			{6 * time.Second, time.Minute, 4500 * time.Millisecond, 2},
+			{6 * time.Second, 0, 5999 * time.Millisecond, 0},
+			{6 * time.Second, 0, 6 * time.Second, 2},
+		} {
+			assert.Equal(t, r.Required("m", Limit{GracePeriod: c.grace, StartWithin: c.start}, now.Add(c.at)), c.want, "%v", c)
+		}
+	})
 	t.Run("the version at a time is the highest one named by then", func(t *testing.T) {
 		r := NewRegister()
 		for i := range 4 {
--- a/coltswire/wire_store.go
+++ b/coltswire/wire_store.go
@@ -32,6 +32,11 @@
 	})
 }
 
+// DecodeServices returns the services whose names a message holds.
+func DecodeServices(names []string) []coltsidentity.Service {
+	return convert(names, func(name string) coltsidentity.Service { return coltsidentity.Service(name) })
+}
+
 // EncodeLoads returns the protobuf messages for the loads of upstreams.
 func EncodeLoads(loads []coltsbalance.Load) []*coltspb.UpstreamLoad {
 	return convert(loads, func(l coltsbalance.Load) *coltspb.UpstreamLoad {
