--- a/coltssystem/system.go
+++ b/coltssystem/system.go
@@ -7,9 +7,11 @@
 // several systems can run at the same time.
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"net"
 	"net/netip"
 	"time"
 
@@ -59,6 +61,8 @@
 	Proxied bool
 	// AdjustSettings, if not nil, changes the settings of entry i before it starts.
 	AdjustSettings func(i int, s *coltssettings.Settings)
+	// Dial opens the entries' connections to upstreams; nil for TCP.
+	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 	// Log receives the log lines of control and entries. Nil discards them.
 	Log *coltslog.Log
 }
@@ -186,7 +190,7 @@
 	if s.cfg.AdjustSettings != nil {
 		s.cfg.AdjustSettings(i, &settings)
 	}
-	entry, err := coltsentry.New(coltsentry.Config{Settings: settings, Log: s.cfg.Log})
+	entry, err := coltsentry.New(coltsentry.Config{Settings: settings, Log: s.cfg.Log, Dial: s.cfg.Dial})
 	if err != nil {
 		return nil, err
 	}
