--- a/coltsbalance/balance_loads.go
+++ b/coltsbalance/balance_loads.go
@@ -21,12 +21,23 @@
 	loadReportTTL = 2 * time.Second
 	// loadSweepPeriod is how often expired reports are looked for.
 	loadSweepPeriod = 100 * time.Millisecond
+	// freshReportTTL is how long a report says something about upstreams that don't answer: about
+	// three report intervals.
+	freshReportTTL = 350 * time.Millisecond
+	// quietAfter is the time without a byte from an upstream after which it counts as quiet, and
+	// quietInstances the number of instances that must be waiting for one. A fetch from a slow store
+	// or a load of weights can delay all answers of an upstream for about a second.
+	quietAfter     = 1200 * time.Millisecond
+	quietInstances = 2
 )
 
 // Load is the load of an upstream in the unit of its service: KV cache tokens or requests.
 type Load struct {
 	Upstream coltsidentity.Upstream
 	Amount   float64
+	// HeardAt is when the instance last got a byte from the upstream, or when it began to wait for
+	// one. It is zero in sums.
+	HeardAt time.Time
 }
 
 // Loads holds the newest load report of each instance, in shards by instance, and the sums of
@@ -46,8 +57,10 @@
 }
 
 type loadReport struct {
-	loads     []Load
-	expiresAt time.Time
+	loads []Load
+	// freshUntil is until when the report says something about quiet upstreams.
+	freshUntil time.Time
+	expiresAt  time.Time
 }
 
 type loadSumsShard struct {
@@ -72,7 +85,7 @@
 	defer s.mu.Unlock()
 	l.add(s.reports[from].loads, -1)
 	l.add(loads, 1)
-	s.reports[from] = loadReport{loads: loads, expiresAt: now.Add(loadReportTTL)}
+	s.reports[from] = loadReport{loads: loads, freshUntil: now.Add(freshReportTTL), expiresAt: now.Add(loadReportTTL)}
 }
 
 // add adds loads to the sums, sign times.
@@ -142,3 +155,42 @@
 		s.mu.Unlock()
 	}
 }
+
+// quietEvidence is what the fresh reports say about one upstream.
+type quietEvidence struct {
+	heardAt time.Time
+	waiting int
+}
+
+// Quiet returns the upstreams from which several instances wait for an answer and none has heard for
+// quietAfter. An upstream that has lost its network sends nothing on any connection, while one that
+// works sends events to some caller all the time.
+func (l *Loads) Quiet(now time.Time) []coltsidentity.Upstream {
+	evidence := map[coltsidentity.Upstream]quietEvidence{}
+	for i := range l.shards {
+		s := &l.shards[i]
+		s.mu.Lock()
+		for _, report := range s.reports {
+			if !now.Before(report.freshUntil) {
+				continue
+			}
+			for _, load := range report.loads {
+				e := evidence[load.Upstream]
+				e.waiting++
+				if load.HeardAt.After(e.heardAt) {
+					e.heardAt = load.HeardAt
+				}
+				evidence[load.Upstream] = e
+			}
+		}
+		s.mu.Unlock()
+	}
+	var quiet []coltsidentity.Upstream
+	for upstream, e := range evidence {
+		if e.waiting >= quietInstances && now.Sub(e.heardAt) >= quietAfter {
+			quiet = append(quiet, upstream)
+		}
+	}
+	slices.Sort(quiet)
+	return quiet
+}
--- a/coltsbalance/balance_upstream.go
+++ b/coltsbalance/balance_upstream.go
@@ -149,6 +149,9 @@
 	// the sum of their weights.
 	running int
 	load    float64
+	// heardAt is when this instance last got a byte from the upstream, or when it sent a request
+	// there while none was in flight.
+	heardAt time.Time
 	// prefill is the part of load whose prompts are not prefilled yet.
 	prefill float64
 	// peerLoad is the load that the other instances have there. It counts until
--- a/coltsbalance/balancer.go
+++ b/coltsbalance/balancer.go
@@ -255,6 +255,9 @@
 	if !known || !u.usable(now) {
 		return Choice{}, false
 	}
+	if u.running == 0 {
+		u.heardAt = now
+	}
 	u.running++
 	u.load += d.Weight
 	u.prefill += d.Prefill
@@ -265,12 +268,13 @@
 
 // AnswerStarted records that the answer to a choice's request has begun, so its prompt is
 // prefilled.
-func (b *Balancer) AnswerStarted(c *Choice) {
+func (b *Balancer) AnswerStarted(c *Choice, now time.Time) {
 	s := &b.shards[coltsshard.Of(c.Upstream.ID)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if u, known := s.upstreams[c.Upstream.ID]; known {
 		u.prefill = max(0, u.prefill-c.Prefill)
+		u.heardAt = now
 	}
 	c.Prefill = 0
 }
@@ -284,6 +288,9 @@
 	if !known {
 		return
 	}
+	if outcome == OutcomeAnswered || outcome == OutcomeFull {
+		u.heardAt = now
+	}
 	u.running--
 	u.load -= c.Weight
 	u.prefill = max(0, u.prefill-c.Prefill)
@@ -303,7 +310,7 @@
 		s.mu.Lock()
 		for id, u := range s.upstreams {
 			if u.load > 0 {
-				loads = append(loads, Load{Upstream: id, Amount: u.load})
+				loads = append(loads, Load{Upstream: id, Amount: u.load, HeardAt: u.heardAt})
 			}
 		}
 		s.mu.Unlock()
--- a/coltscontrol/registry_loop.go
+++ b/coltscontrol/registry_loop.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// sweepPeriod is how often the leader checks for upstreams that have stopped reporting.
-	sweepPeriod = 500 * time.Millisecond
+	// sweepPeriod is how often the leader checks for upstreams that have stopped reporting or that
+	// no entry hears from.
+	sweepPeriod = 200 * time.Millisecond
 	// mirrorWait is how long the leader may hold a mirror's Watch call before it answers;
 	// mirrorTimeout is the timeout of that call.
 	mirrorWait    = time.Second
@@ -57,7 +58,13 @@
 			"upstream": u.ID, "address": u.Addr, "sequence": u.Sequence,
 		})
 	}
-	if len(silent) > 0 {
+	quiet := c.registry.MarkQuiet(c.loads.Quiet(c.cfg.Now()))
+	for _, u := range quiet {
+		c.log.Warn("No entry hears from an upstream any more.", coltslog.Fields{
+			"upstream": u.ID, "address": u.Addr, "sequence": u.Sequence,
+		})
+	}
+	if len(silent)+len(quiet) > 0 {
 		c.watchChanged.Broadcast()
 	}
 }
@@ -139,7 +146,7 @@
 	if r.GetMember() != nil {
 		member := coltswire.DecodeMember(r.GetMember())
 		s.c.roster.Heartbeat(member, s.c.cfg.Now())
-		s.c.loads.Report(member.ID, coltswire.DecodeLoads(r.GetLoads()), s.c.cfg.Now())
+		s.c.loads.Report(member.ID, coltswire.DecodeLoads(r.GetLoads(), s.c.cfg.Now()), s.c.cfg.Now())
 		s.mergeSuspects(r)
 		for _, fetch := range coltswire.DecodeStoreChanges(r.GetFetches()) {
 			s.c.catalogue.MarkFetched(fetch.Store, fetch.Key, s.c.cfg.Now())
@@ -243,7 +250,8 @@
 		return false
 	}
 	reply.Leads = true
-	reply.Loads = coltswire.EncodeLoads(s.c.loads.Others(coltsidentity.Instance(r.GetMember().GetId()), s.c.cfg.Now()))
+	now := s.c.cfg.Now()
+	reply.Loads = coltswire.EncodeLoads(s.c.loads.Others(coltsidentity.Instance(r.GetMember().GetId()), now), now)
 	reply.Suspects = s.sharedSuspects()
 	// An entry goes on with what it has until the catalogue is complete.
 	if !s.c.catalogue.Complete() {
--- a/coltsforward/forward_request.go
+++ b/coltsforward/forward_request.go
@@ -152,11 +152,15 @@
 }
 
 // QueueDeadline returns the time until which the request may be queued for room. Callers
-// hang up if a stream stays silent for too long.
+// hang up if a stream stays silent for too long, and a request that is sent less than its
+// goal before its deadline could not be answered in time any more.
 func (r *Request) QueueDeadline() time.Time {
 	queueDeadline := r.Arrived.Add(time.Duration(queueGoalFactor * float64(r.Route.LatencyGoal)))
-	if deadline := r.Deadline(); deadline.Before(queueDeadline) {
-		return deadline
+	if latest := r.Deadline().Add(-r.Route.LatencyGoal); latest.Before(queueDeadline) {
+		queueDeadline = latest
+	}
+	if queueDeadline.Before(r.Arrived) {
+		return r.Arrived
 	}
 	return queueDeadline
 }
--- a/coltsforward/forward_request_test.go
+++ b/coltsforward/forward_request_test.go
@@ -128,3 +128,17 @@
 		assert.Equal(t, r.Affinity(), "a")
 	})
 }
+
+func TestQueueDeadline(t *testing.T) {
+	queued := func(goal, timeout time.Duration) time.Duration {
+		r := &Request{Arrived: now, RouteDeadline: now.Add(timeout), Route: coltsroute.Route{LatencyGoal: goal}}
+		return r.QueueDeadline().Sub(now)
+	}
+	t.Run("a request is queued for a few times its goal", func(t *testing.T) {
+		assert.Equal(t, queued(600*time.Millisecond, 10*time.Second), 1800*time.Millisecond)
+	})
+	t.Run("it is refused when the rest of its time is too short to be served", func(t *testing.T) {
+		assert.Equal(t, queued(1500*time.Millisecond, 5*time.Second), 3500*time.Millisecond)
+		assert.Equal(t, queued(5*time.Second, time.Second), time.Duration(0))
+	})
+}
--- a/coltsgateway/control_reply.go
+++ b/coltsgateway/control_reply.go
@@ -44,7 +44,7 @@
 		if reply.GetStoresComplete() {
 			w.applyStores(reply, now)
 		}
-		w.g.balancer.SetPeerLoads(coltswire.DecodeLoads(reply.GetLoads()), now)
+		w.g.balancer.SetPeerLoads(coltswire.DecodeLoads(reply.GetLoads(), now), now)
 		w.g.capacityFreed.Broadcast()
 		w.mergeSuspects(reply, now)
 	}
--- a/coltsgateway/control_watch.go
+++ b/coltsgateway/control_watch.go
@@ -161,7 +161,7 @@
 		RegistryRevision: w.registryRevision,
 		StoreRevision:    w.storePosition.Revision,
 		StoreBase:        w.storePosition.Base,
-		Loads:            coltswire.EncodeLoads(w.g.balancer.Loads()),
+		Loads:            coltswire.EncodeLoads(w.g.balancer.Loads(), w.g.now()),
 		Suspects:         coltswire.EncodeSuspects(w.unreportedSuspects()),
 		Fetches:          coltswire.EncodeStoreChanges(w.g.stores.TakeFetches()),
 		WaitNanos:        int64(longPollWait),
--- a/coltsgateway/forward_stream.go
+++ b/coltsgateway/forward_stream.go
@@ -115,7 +115,7 @@
 // appendStreamHead appends the head of a streamed response and records that the response has begun.
 func (f *forwarding) appendStreamHead(dst []byte, x *exchange) []byte {
 	f.headSent = true
-	f.g.balancer.AnswerStarted(&f.choice)
+	f.g.balancer.AnswerStarted(&f.choice, f.g.now())
 	f.status = x.resp.StatusCode()
 	f.firstAt = f.g.now()
 	f.closeConn = f.closeConn || f.g.draining.Load()
--- a/coltsregistry/registry.go
+++ b/coltsregistry/registry.go
@@ -256,6 +256,53 @@
 	return silent
 }
 
+// maxQuietShare is the largest share of a service's ready upstreams that MarkQuiet marks. If more of
+// them seem quiet, the fault is more likely between them and the entries.
+const maxQuietShare = 0.5
+
+// MarkQuiet marks upstreams from which entries hear nothing as silent, until their next report. It
+// returns those that became silent.
+func (r *Registry) MarkQuiet(quiet []coltsidentity.Upstream) []Upstream {
+	if len(quiet) == 0 {
+		return nil
+	}
+	ready, marked := r.countReady(), map[coltsidentity.Service]int{}
+	var silent []Upstream
+	for _, id := range quiet {
+		e, known := r.Find(id)
+		service := e.Upstream.Service
+		if !known || float64(marked[service]+1) > maxQuietShare*float64(ready[service]) {
+			continue
+		}
+		marked[service]++
+		changed := r.updateEntry(id, e.Upstream.StartedAt, func(e *Entry) bool {
+			changed := !e.Silent && e.Upstream.State != StateGone
+			e.Silent = e.Silent || changed
+			return changed
+		})
+		if changed {
+			silent = append(silent, e.Upstream)
+		}
+	}
+	return silent
+}
+
+// countReady returns the number of ready upstreams of each service, silent ones included.
+func (r *Registry) countReady() map[coltsidentity.Service]int {
+	ready := map[coltsidentity.Service]int{}
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.Lock()
+		for _, rec := range s.entries {
+			if rec.entry.Upstream.State == StateReady {
+				ready[rec.entry.Upstream.Service]++
+			}
+		}
+		s.mu.Unlock()
+	}
+	return ready
+}
+
 // ResetDeadlines restarts the deadlines of all entries from now. Silent entries stay silent.
 // A new leader calls it because it has not received the reports that went to its
 // predecessor.
--- a/coltsregistry/registry_test.go
+++ b/coltsregistry/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/netip"
 	"reflect"
 	"testing"
@@ -171,3 +172,42 @@
 		assertState(t, mirror, "a", StateDraining)
 	})
 }
+
+func TestMarkQuiet(t *testing.T) {
+	newRegistry := func() *Registry {
+		r := NewRegistry(Config{SilentAfter: time.Minute})
+		for i := range 4 {
+			_, err := r.Report(quietUpstream(i, 1), start)
+			assert.NilError(t, err)
+		}
+		return r
+	}
+	assertSilent := func(t *testing.T, r *Registry, id coltsidentity.Upstream, want bool) {
+		t.Helper()
+		e, known := r.Find(id)
+		assert.Assert(t, known)
+		assert.Equal(t, e.Silent, want)
+	}
+	t.Run("an upstream that no entry hears from is silent until its next report", func(t *testing.T) {
+		r := newRegistry()
+		assert.Equal(t, len(r.MarkQuiet([]coltsidentity.Upstream{"q0", "unknown"})), 1)
+		assert.Equal(t, len(r.MarkQuiet([]coltsidentity.Upstream{"q0"})), 0)
+		assertSilent(t, r, "q0", true)
+		_, err := r.Report(quietUpstream(0, 2), start)
+		assert.NilError(t, err)
+		assertSilent(t, r, "q0", false)
+	})
+	t.Run("at most half of a service is marked", func(t *testing.T) {
+		r := newRegistry()
+		assert.Equal(t, len(r.MarkQuiet([]coltsidentity.Upstream{"q0", "q1", "q2", "q3"})), 2)
+		assertSilent(t, r, "q3", false)
+	})
+}
+
+// quietUpstream returns the report of the ith upstream of a service.
+func quietUpstream(i int, sequence uint64) Upstream {
+	return Upstream{
+		ID: coltsidentity.Upstream(fmt.Sprint("q", i)), Service: "llm", State: StateReady, StartedAt: start, Sequence: sequence,
+		Addr: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(1000+i)),
+	}
+}
--- a/coltstrade/trade_gateway.go
+++ b/coltstrade/trade_gateway.go
@@ -172,7 +172,7 @@
 		parts: parts, outputTokens: request.Inbound.OutputTokens,
 	}
 	req.onFirstToken = func() {
-		g.balancer.AnswerStarted(&choice)
+		g.balancer.AnswerStarted(&choice, g.sim.scheduler.now)
 		timing.firstTokenAt = g.sim.scheduler.now.Add(firstTokenOverhead + networkDelay)
 	}
 	req.onEvent = func(gap time.Duration) { g.balancer.RecordGap(choice, gap, g.sim.scheduler.now) }
--- a/coltswire/wire_store.go
+++ b/coltswire/wire_store.go
@@ -4,6 +4,8 @@
 // upstreams, which gateways and control instances exchange.
 
 import (
+	"time"
+
 	"coltsfootstall/coltsbalance"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltsstore"
@@ -38,15 +40,21 @@
 }
 
 // EncodeLoads returns the protobuf messages for the loads of upstreams.
-func EncodeLoads(loads []coltsbalance.Load) []*coltspb.UpstreamLoad {
+func EncodeLoads(loads []coltsbalance.Load, now time.Time) []*coltspb.UpstreamLoad {
 	return convert(loads, func(l coltsbalance.Load) *coltspb.UpstreamLoad {
-		return &coltspb.UpstreamLoad{Upstream: string(l.Upstream), Load: l.Amount}
+		m := &coltspb.UpstreamLoad{Upstream: string(l.Upstream), Load: l.Amount}
+		if !l.HeardAt.IsZero() {
+			m.QuietNanos = int64(now.Sub(l.HeardAt))
+		}
+		return m
 	})
 }
 
 // DecodeLoads returns the loads of upstreams held in protobuf messages.
-func DecodeLoads(messages []*coltspb.UpstreamLoad) []coltsbalance.Load {
+func DecodeLoads(messages []*coltspb.UpstreamLoad, now time.Time) []coltsbalance.Load {
 	return convert(messages, func(m *coltspb.UpstreamLoad) coltsbalance.Load {
-		return coltsbalance.Load{Upstream: coltsidentity.Upstream(m.GetUpstream()), Amount: m.GetLoad()}
+		return coltsbalance.Load{
+			Upstream: coltsidentity.Upstream(m.GetUpstream()), Amount: m.GetLoad(), HeardAt: now.Add(-time.Duration(m.GetQuietNanos())),
+		}
 	})
 }
