Tell an instance that begins to wait from one that hears

Change: a report says apart when an instance last heard and since when it waits. Measured: TestQuiet has the case; it failed before.

--- a/coltsbalance/balance_loads.go
+++ b/coltsbalance/balance_loads.go
@@ -25,7 +25,7 @@
 	// three report intervals.
 	freshReportTTL = 350 * time.Millisecond
 	// quietAfter is the time without a byte from an upstream after which it counts as quiet, and
-	// quietInstances the number of instances that must be waiting for one. A fetch from a slow store
+	// quietInstances the number of instances that must have been waiting for that long. A fetch from a slow store
 	// or a load of weights can delay all answers of an upstream for about a second.
 	quietAfter     = 1200 * time.Millisecond
 	quietInstances = 2
@@ -35,9 +35,10 @@
 type Load struct {
 	Upstream coltsidentity.Upstream
 	Amount   float64
-	// HeardAt is when the instance last got a byte from the upstream, or when it began to wait for
-	// one. It is zero in sums.
-	HeardAt time.Time
+	// HeardAt is when the instance last got a byte from the upstream; zero if it never has.
+	// WaitingSince is since when it has been waiting for one. Both are zero in sums.
+	HeardAt      time.Time
+	WaitingSince time.Time
 }
 
 // Loads holds the newest load report of each instance, in shards by instance, and the sums of
@@ -156,14 +157,15 @@
 	}
 }
 
-// quietEvidence is what the fresh reports say about one upstream.
+// quietEvidence is what the fresh reports say about one upstream: when any instance last heard from
+// it, and how many have been waiting for quietAfter.
 type quietEvidence struct {
 	heardAt time.Time
 	waiting int
 }
 
-// Quiet returns the upstreams from which several instances wait for an answer and none has heard for
-// quietAfter. An upstream that has lost its network sends nothing on any connection, while one that
+// Quiet returns the upstreams from which several instances have been waiting for an answer, and none
+// has heard, for quietAfter. An upstream that has lost its network sends nothing on any connection, while one that
 // works sends events to some caller all the time.
 func (l *Loads) Quiet(now time.Time) []coltsidentity.Upstream {
 	evidence := map[coltsidentity.Upstream]quietEvidence{}
@@ -176,7 +178,9 @@
 			}
 			for _, load := range report.loads {
 				e := evidence[load.Upstream]
-				e.waiting++
+				if now.Sub(load.WaitingSince) >= quietAfter {
+					e.waiting++
+				}
 				if load.HeardAt.After(e.heardAt) {
 					e.heardAt = load.HeardAt
 				}
--- a/coltsbalance/balance_pace.go
+++ b/coltsbalance/balance_pace.go
@@ -30,7 +30,7 @@
 	if !known {
 		return
 	}
-	u.heardAt = now
+	u.heard(now)
 	if now.After(u.gapUntil) {
 		u.gap = gap
 	}
--- a/coltsbalance/balance_quiet_test.go
+++ b/coltsbalance/balance_quiet_test.go
@@ -18,7 +18,7 @@
 func waiting(heardAgo map[coltsidentity.Upstream]time.Duration, at time.Time) []Load {
 	var loads []Load
 	for id, ago := range heardAgo {
-		loads = append(loads, Load{Upstream: id, Amount: 10, HeardAt: at.Add(-ago)})
+		loads = append(loads, Load{Upstream: id, Amount: 10, HeardAt: at.Add(-ago), WaitingSince: at.Add(-ago)})
 	}
 	return loads
 }
@@ -52,6 +52,13 @@
 		l.Report("b", waiting(heard{"u": 0}, now), now)
 		assertQuiet(t, l, now)
 	})
+	t.Run("an instance that has just begun to wait is no evidence against it", func(t *testing.T) {
+		l := NewLoads()
+		l.Report("a", waiting(heard{"dark": 2 * time.Second}, now), now)
+		l.Report("b", waiting(heard{"dark": 2 * time.Second}, now), now)
+		l.Report("c", []Load{{Upstream: "dark", Amount: 1, WaitingSince: now}}, now)
+		assertQuiet(t, l, now, "dark")
+	})
 	t.Run("old reports are no evidence, as after a pause of the leader", func(t *testing.T) {
 		l := NewLoads()
 		l.Report("a", waiting(heard{"u": 0}, now), now)
@@ -61,21 +68,23 @@
 	t.Run("a balancer reports since when it has been waiting", func(t *testing.T) {
 		b := newBalancer(1)
 		at := func(d time.Duration) time.Time { return now.Add(d) }
-		assertHeard := func(want time.Duration) {
+		assertWaits := func(since time.Duration, heard bool) {
 			t.Helper()
-			assert.Equal(t, b.Loads()[0].HeardAt, at(want))
+			l := b.Loads()[0]
+			assert.Equal(t, l.WaitingSince, at(since))
+			assert.Equal(t, !l.HeardAt.IsZero(), heard)
 		}
 		d := Demand{Service: "llm", Weight: 1}
 		first, err := b.Choose(d, at(0))
 		assert.NilError(t, err)
 		_, err = b.Choose(d, at(time.Second))
 		assert.NilError(t, err)
-		assertHeard(0)
+		assertWaits(0, false)
 		b.AnswerStarted(&first, at(2*time.Second))
-		assertHeard(2 * time.Second)
+		assertWaits(2*time.Second, true)
 		b.RecordGap(first, time.Second, at(3*time.Second))
-		assertHeard(3 * time.Second)
+		assertWaits(3*time.Second, true)
 		b.Done(first, OutcomeFailed, at(4*time.Second))
-		assertHeard(3 * time.Second)
+		assertWaits(3*time.Second, true)
 	})
 }
--- a/coltsbalance/balance_upstream.go
+++ b/coltsbalance/balance_upstream.go
@@ -149,9 +149,10 @@
 	// the sum of their weights.
 	running int
 	load    float64
-	// heardAt is when this instance last got a byte from the upstream, or when it sent a request
-	// there while none was in flight.
-	heardAt time.Time
+	// heardAt is when this instance last got a byte from the upstream; zero if it never has.
+	// waitingSince is since when it has been waiting for one.
+	heardAt      time.Time
+	waitingSince time.Time
 	// prefill is the part of load whose prompts are not prefilled yet.
 	prefill float64
 	// peerLoad is the load that the other instances have there. It counts until
@@ -170,6 +171,9 @@
 	aliveUntil time.Time
 }
 
+// heard records that this instance got a byte from the upstream.
+func (u *upstream) heard(now time.Time) { u.heardAt, u.waitingSince = now, now }
+
 // usable reports whether new requests may be sent to the upstream.
 func (u *upstream) usable(now time.Time) bool {
 	return u.record.State == coltsregistry.StateReady && (!u.silent || now.Before(u.aliveUntil))
--- a/coltsbalance/balancer.go
+++ b/coltsbalance/balancer.go
@@ -256,7 +256,7 @@
 		return Choice{}, false
 	}
 	if u.running == 0 {
-		u.heardAt = now
+		u.waitingSince = now
 	}
 	u.running++
 	u.load += d.Weight
@@ -274,7 +274,7 @@
 	defer s.mu.Unlock()
 	if u, known := s.upstreams[c.Upstream.ID]; known {
 		u.prefill = max(0, u.prefill-c.Prefill)
-		u.heardAt = now
+		u.heard(now)
 	}
 	c.Prefill = 0
 }
@@ -289,7 +289,7 @@
 		return
 	}
 	if outcome == OutcomeAnswered || outcome == OutcomeFull {
-		u.heardAt = now
+		u.heard(now)
 	}
 	u.running--
 	u.load -= c.Weight
@@ -310,7 +310,7 @@
 		s.mu.Lock()
 		for id, u := range s.upstreams {
 			if u.load > 0 {
-				loads = append(loads, Load{Upstream: id, Amount: u.load, HeardAt: u.heardAt})
+				loads = append(loads, Load{Upstream: id, Amount: u.load, HeardAt: u.heardAt, WaitingSince: u.waitingSince})
 			}
 		}
 		s.mu.Unlock()
--- a/coltswire/wire_store.go
+++ b/coltswire/wire_store.go
@@ -42,11 +42,10 @@
 // EncodeLoads returns the protobuf messages for the loads of upstreams.
 func EncodeLoads(loads []coltsbalance.Load, now time.Time) []*coltspb.UpstreamLoad {
 	return convert(loads, func(l coltsbalance.Load) *coltspb.UpstreamLoad {
-		m := &coltspb.UpstreamLoad{Upstream: string(l.Upstream), Load: l.Amount}
-		if !l.HeardAt.IsZero() {
-			m.QuietNanos = int64(now.Sub(l.HeardAt))
+		return &coltspb.UpstreamLoad{
+			Upstream: string(l.Upstream), Load: l.Amount,
+			HeardNanosAgo: encodeAge(l.HeardAt, now), WaitingNanos: encodeAge(l.WaitingSince, now),
 		}
-		return m
 	})
 }
 
@@ -54,7 +53,25 @@
 func DecodeLoads(messages []*coltspb.UpstreamLoad, now time.Time) []coltsbalance.Load {
 	return convert(messages, func(m *coltspb.UpstreamLoad) coltsbalance.Load {
 		return coltsbalance.Load{
-			Upstream: coltsidentity.Upstream(m.GetUpstream()), Amount: m.GetLoad(), HeardAt: now.Add(-time.Duration(m.GetQuietNanos())),
+			Upstream: coltsidentity.Upstream(m.GetUpstream()), Amount: m.GetLoad(),
+			HeardAt: decodeAge(m.GetHeardNanosAgo(), now), WaitingSince: decodeAge(m.GetWaitingNanos(), now),
 		}
 	})
 }
+
+// encodeAge returns the nanoseconds from a time to now, at least 1; 0 for the zero time. Ages are
+// sent instead of times because the clocks of sender and receiver differ.
+func encodeAge(at, now time.Time) int64 {
+	if at.IsZero() {
+		return 0
+	}
+	return max(1, int64(now.Sub(at)))
+}
+
+// decodeAge returns the time that many nanoseconds before now; the zero time for 0.
+func decodeAge(nanos int64, now time.Time) time.Time {
+	if nanos <= 0 {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(nanos))
+}
