--- a/coltsgateway/upstream_exchange.go
+++ b/coltsgateway/upstream_exchange.go
@@ -110,9 +110,10 @@
 	return x, nil
 }
 
-// connect returns a connection to an upstream on which responses can be matched with the request: a
+// connect returns a connection to an upstream on which responses can be matched with the request. A
 // connection that has just carried a request with the same ID may still receive a second copy of
-// the response to that one.
+// the response to that one, and for a request without an ID no connection is safe that has carried
+// another.
 func (g *Gateway) connect(ctx context.Context, addr netip.AddrPort, out outgoingRequest) (*coltspool.Conn, error) {
 	ctx, cancel := context.WithDeadline(ctx, out.deadline)
 	defer cancel()
@@ -121,7 +122,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if out.id == "" || conn.RequestID != out.id {
+		if !conn.Reused || out.id != "" && conn.RequestID != out.id {
 			conn.RequestID = out.id
 			return conn, nil
 		}
