Don't confirm a directory that is being replaced

Cause: by reading; while a new catalogue arrived in steps, each step confirmed the content of before, which the new leader had not vouched for.

--- a/coltsgateway/control_reply.go
+++ b/coltsgateway/control_reply.go
@@ -69,10 +69,9 @@
 		Position: coltsstore.Position{Revision: reply.GetStoreRevision(), Base: reply.GetStoreBase()},
 		IsStart:  reply.GetStoresWhole(), More: reply.GetStoresMore(),
 	}
-	w.g.stores.Receive(delta)
+	w.g.stores.Receive(delta, now)
 	w.storePosition = delta.Position
 	w.g.stores.SetUsable(coltswire.DecodeServices(reply.GetUsableStores()))
-	w.g.stores.Confirm(now)
 	if delta.IsStart || delta.More || w.receivingStores {
 		w.g.log.Info("Receiving the whole store directory.", coltslog.Fields{
 			"parts": w.g.stores.Len(), "more": delta.More, "usable": len(reply.GetUsableStores()), "source": w.source,
--- a/coltsstore/store_directory.go
+++ b/coltsstore/store_directory.go
@@ -71,11 +71,11 @@
 	return &d.shards[coltsshard.Of(key.Part)]
 }
 
-// Receive applies a delta of the catalogue. It is not safe for concurrent use with itself. If the
-// whole catalogue is received again, in several deltas, the directory keeps its content until the
-// last of them. An empty directory uses what it has so far, but has nothing saved before it is
-// complete: the part may be listed in the next delta.
-func (d *Directory) Receive(delta Delta) {
+// Receive applies a delta of the catalogue that was received at now. It is not safe for concurrent
+// use with itself. If the whole catalogue is received again, in several deltas, the directory keeps
+// its content until the last of them, as of its last confirmation. An empty directory uses what it
+// has so far, but has nothing saved before it is complete: the part may be listed in the next delta.
+func (d *Directory) Receive(delta Delta, now time.Time) {
 	if delta.IsStart {
 		d.incoming = nil
 		if d.Len() > 0 {
@@ -98,6 +98,9 @@
 	if !delta.More {
 		d.complete.Store(true)
 	}
+	if d.incoming == nil {
+		d.confirm(now)
+	}
 }
 
 func (d *Directory) applyAll(changes []Change) {
@@ -164,8 +167,8 @@
 	return 0
 }
 
-// Confirm records that the copy is up to date at time now.
-func (d *Directory) Confirm(now time.Time) {
+// confirm records that the copy is up to date at time now.
+func (d *Directory) confirm(now time.Time) {
 	until := now.Add(confirmationTTL)
 	d.confirmedUntil.Store(&until)
 }
--- a/coltsstore/store_test.go
+++ b/coltsstore/store_test.go
@@ -60,9 +60,8 @@
 // directory returns a confirmed directory to which some changes were applied.
 func directory(changes ...Change) *Directory {
 	d := NewDirectory()
-	d.Confirm(now)
 	d.SetUsable([]coltsidentity.Service{"fast", "slow"})
-	d.Receive(Delta{IsStart: true, Changes: changes})
+	d.Receive(Delta{IsStart: true, Changes: changes}, now)
 	return d
 }
 
@@ -245,25 +244,31 @@
 	other := PromptPart{Key: key("b"), Tokens: 1000}
 	t.Run("a directory keeps its content until the whole of a new catalogue has arrived", func(t *testing.T) {
 		d := directory(added("fast", "a", 1000))
-		d.Receive(Delta{IsStart: true, More: true, Changes: []Change{added("fast", "b", 1000)}})
+		d.Receive(Delta{IsStart: true, More: true, Changes: []Change{added("fast", "b", 1000)}}, now)
 		assertTransfer(t, plan(d, now, part).Fetch[0], "fast", 1000)
-		d.Receive(Delta{Changes: []Change{added("fast", "c", 1000)}})
+		d.Receive(Delta{Changes: []Change{added("fast", "c", 1000)}}, now)
 		assert.Equal(t, plan(d, now, part).FetchedTokens(), 0)
 		assertTransfer(t, plan(d, now, other).Fetch[0], "fast", 1000)
 		assert.Equal(t, d.Len(), 2)
 	})
+	t.Run("content that is being replaced is not confirmed by the deltas of the new catalogue", func(t *testing.T) {
+		d := directory(added("fast", "a", 1000))
+		later := now.Add(confirmationTTL)
+		d.Receive(Delta{IsStart: true, More: true, Changes: []Change{added("fast", "b", 1000)}}, later)
+		assert.Equal(t, plan(d, later, part).FetchedTokens(), 0)
+	})
 	t.Run("an empty directory uses what has arrived and saves nothing before the rest has", func(t *testing.T) {
 		d := directory()
-		d.Receive(Delta{IsStart: true, More: true, Changes: []Change{added("fast", "b", 1000)}})
+		d.Receive(Delta{IsStart: true, More: true, Changes: []Change{added("fast", "b", 1000)}}, now)
 		assertTransfer(t, plan(d, now, other).Fetch[0], "fast", 1000)
 		assert.Equal(t, plan(d, now, part).SavedTokens(), 0)
-		d.Receive(Delta{})
+		d.Receive(Delta{}, now)
 		assertTransfer(t, plan(d, now, part).Save[0], "fast", 1000)
 	})
 	t.Run("a catalogue that begins anew before it was received replaces what arrived of it", func(t *testing.T) {
 		d := directory(added("fast", "a", 1000))
-		d.Receive(Delta{IsStart: true, More: true, Changes: []Change{added("fast", "b", 1000)}})
-		d.Receive(Delta{IsStart: true, Changes: []Change{added("fast", "c", 1000)}})
+		d.Receive(Delta{IsStart: true, More: true, Changes: []Change{added("fast", "b", 1000)}}, now)
+		d.Receive(Delta{IsStart: true, Changes: []Change{added("fast", "c", 1000)}}, now)
 		assert.Equal(t, d.Len(), 1)
 	})
 }
--- a/coltstrade/trade_gateway.go
+++ b/coltstrade/trade_gateway.go
@@ -67,11 +67,10 @@
 	g.balancer.SetPeerLoads(g.sim.loads.Others(g.id, now), now)
 	for more := true; more; {
 		delta := g.sim.catalogue.Since(g.position, maxStoreChanges)
-		g.stores.Receive(delta)
+		g.stores.Receive(delta, now)
 		g.position, more = delta.Position, delta.More
 	}
 	g.stores.SetUsable(g.sim.catalogue.Usable())
-	g.stores.Confirm(now)
 	for _, fetch := range g.stores.TakeFetches() {
 		g.sim.catalogue.MarkFetched(fetch.Store, fetch.Key, now)
 	}
