--- a/coltsforward/forward_demand.go
+++ b/coltsforward/forward_demand.go
@@ -1,11 +1,10 @@
 package coltsforward
 
 // The demand of a forwarded request holds the criteria by which the balancer chooses an
-// upstream. Load is counted in KV cache tokens for services of model runners, at least a slot's
-// share of a runner's for each request, and in requests for all others.
+// upstream. Load is counted in KV cache tokens for services of model runners and in requests
+// for all others.
 
 import (
-	"math"
 	"time"
 
 	"coltsfootstall/coltsbalance"
@@ -65,11 +64,9 @@
 	if inputs.Service.Engine == nil {
 		return d
 	}
-	engine := inputs.Service.Engine
-	tokens := float64(r.Inbound.PromptTokens + r.Inbound.OutputTokens)
-	d.Capacity = float64(engine.CacheTokens)
-	d.Weight = max(tokens, slotShare(engine))
-	if tokens > longPromptShare*d.Capacity {
+	d.Capacity = float64(inputs.Service.Engine.CacheTokens)
+	d.Weight = float64(r.Inbound.PromptTokens + r.Inbound.OutputTokens)
+	if d.Weight > longPromptShare*d.Capacity {
 		d.Limit = longPromptLimit
 		if now.After(r.DispatchDeadline()) {
 			d.Limit = lateLongPromptLimit
@@ -84,15 +81,6 @@
 	return d
 }
 
-// slotShare returns the load of a request that takes a slot of a runner and little of its KV cache. A
-// runner without a free slot queues requests however much cache is free.
-func slotShare(e *coltsroute.Engine) float64 {
-	if e.Slots <= 0 {
-		return 0
-	}
-	return math.Floor(float64(e.CacheTokens) / float64(e.Slots))
-}
-
 // CacheLookups returns the prompt's shared parts in the form in which they are looked up in the
 // cache stores. scope is the cache scope of their keys.
 func (r *Request) CacheLookups(scope string) []coltsstore.PromptPart {
