--- a/coltsgateway/forward_buffered.go
+++ b/coltsgateway/forward_buffered.go
@@ -40,7 +40,7 @@
 	return nil
 }
 
-// countExhausted counts err if it says that the memory for buffers is used up.
+// countExhausted counts err if it is the lack of memory for buffers.
 func (f *forwarding) countExhausted(err error) {
 	var exhausted *coltsbuffer.ExhaustedError
 	if errors.As(err, &exhausted) {
