--- a/coltscontrol/registry_file.go
+++ b/coltscontrol/registry_file.go
@@ -34,10 +34,10 @@
 	saved := uint64(0)
 	failed := false
 	coltsloop.Every(ctx, registrySavePeriod, func() {
-		entries, revision := c.registry.ChangedSince(0)
-		if revision == saved {
+		if _, revision := c.registry.ChangedSince(saved); revision == saved {
 			return
 		}
+		entries, revision := c.registry.ChangedSince(0)
 		content, err := proto.Marshal(&coltspb.WatchReply{Entries: coltswire.EncodeRegistryEntries(entries)})
 		if err == nil {
 			cfg := coltsjournal.Config{Dir: c.settings.DataFolder, Sync: c.cfg.Sync}
--- a/coltsstore/store_directory.go
+++ b/coltsstore/store_directory.go
@@ -63,7 +63,7 @@
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
 	d := &Directory{usage: storeUsage{tokens: map[coltsidentity.Service]int{}}}
-	d.Clear()
+	d.clear()
 	return d
 }
 
@@ -90,7 +90,7 @@
 	case delta.More:
 		d.incoming = append(d.incoming, delta.Changes...)
 	default:
-		d.Clear()
+		d.clear()
 		d.applyAll(d.incoming)
 		d.applyAll(delta.Changes)
 		d.incoming = nil
@@ -109,8 +109,8 @@
 	}
 }
 
-// Clear removes all parts, including the marks of those being saved.
-func (d *Directory) Clear() {
+// clear removes all parts, including the marks of those being saved.
+func (d *Directory) clear() {
 	for i := range d.shards {
 		s := &d.shards[i]
 		s.mu.Lock()
