Log the prompt's parts and the progress of the answer with each crash

The line of a crash could not tell whether requests that crash runners have a part of the prompt in common, nor bystanders from culprits.

--- a/coltsgateway/forward_request.go
+++ b/coltsgateway/forward_request.go
@@ -50,6 +50,8 @@
 	firstAt time.Time
 	// completed is set once the whole response has been sent to the caller.
 	completed bool
+	// eventReads is the number of times that events of the current attempt's response were passed on.
+	eventReads int
 	// lastForwardedAt is when events were last passed on, longestPause the longest time
 	// between two such times.
 	lastForwardedAt time.Time
@@ -149,6 +151,7 @@
 func (f *forwarding) attempt(ctx context.Context) *attemptError {
 	choice := f.choice
 	f.tried = append(f.tried, choice.Upstream.ID)
+	f.eventReads = 0
 	if choice.Home {
 		f.g.metrics.Add(coltsmetric.RequestsAtHome, 1)
 	}
--- a/coltsgateway/forward_stream.go
+++ b/coltsgateway/forward_stream.go
@@ -138,6 +138,7 @@
 // recordEvents records the ID of the newest event that is being sent to the caller.
 func (f *forwarding) recordEvents(events []byte) {
 	f.lifecycle.AnswerStarted()
+	f.eventReads++
 	f.recordGap()
 	if !f.lifecycle.Route.Resumable {
 		return
--- a/coltsgateway/forward_suspect.go
+++ b/coltsgateway/forward_suspect.go
@@ -11,6 +11,7 @@
 
 	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltsbalance"
+	"coltsfootstall/coltsforward"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslog"
 )
@@ -66,6 +67,7 @@
 	f.g.log.Warn("An upstream crashed while it ran a request.", coltslog.Fields{
 		"request": f.lifecycle.Inbound.ID, "upstream": upstream.ID,
 		"fingerprint": suspect.Fingerprint, "crashes": len(suspect.Upstreams),
+		"parts": partIDs(f.lifecycle.SharedParts()), "event-reads": f.eventReads,
 	})
 }
 
@@ -75,3 +77,12 @@
 		f.g.suspects.Clear(f.fingerprint(), f.g.now())
 	}
 }
+
+// partIDs returns the IDs of parts of a prompt.
+func partIDs(parts []coltsforward.Part) []string {
+	ids := make([]string, len(parts))
+	for i, part := range parts {
+		ids[i] = part.ID
+	}
+	return ids
+}
