Find the parts of prompts that crash upstreams, and refuse prompts with them

Callers of one kind of request saw 502 and broken streams as long as prompts with one harmful part came: each crashed the runner that began to answer it.

Cause: crashes were counted by a fingerprint of the whole request. No two of these requests were alike, so each count started at zero; what they share, a part of the prompt, was in no key. The class of fault: evidence kept under a key that the harmful input varies.

Change: coltspoison counts crashes by part at the leader, from what all gateways report, and answers too. A part is blocked after three crashes in which a prompt with it waited for its answer, if none with it was answered since and other prompts to the model were. Of several such parts the one that was not answered for the longest time is blocked first and explains the others' crashes. Crashes within 0.1 s count once, so a loss of power blocks nothing. Blocked prompts are refused as not run at once, also while they wait and before each retry. New leaders are told again.

--- a/coltscontrol/control.go
+++ b/coltscontrol/control.go
@@ -28,6 +28,7 @@
 	"coltsfootstall/coltsloop"
 	"coltsfootstall/coltsmembership"
 	"coltsfootstall/coltsmetric"
+	"coltsfootstall/coltspoison"
 	"coltsfootstall/coltsregistry"
 	"coltsfootstall/coltsroute"
 	"coltsfootstall/coltssettings"
@@ -98,6 +99,8 @@
 	// suspects holds the requests that were running on an upstream when it crashed, as
 	// reported by entries.
 	suspects *coltsattempt.Quarantine
+	// poison finds the parts of prompts that crash upstreams. Only the leader uses it.
+	poison *coltspoison.Register
 	// routes is the newest route table that this instance has applied.
 	routes atomic.Pointer[coltsroute.EncodedTable]
 	// seeds are the hosts through which the group is found. A reload replaces them.
@@ -143,6 +146,7 @@
 		catalogue: coltsstore.NewCatalogue(),
 		loads:     coltsbalance.NewLoads(),
 		suspects:  coltsattempt.NewQuarantine(coltsattempt.QuarantineConfig{}),
+		poison:    coltspoison.NewRegister(),
 		registry:  coltsregistry.NewRegistry(coltsregistry.Config{SilentAfter: cfg.Settings.Control.SilentAfter}),
 	}
 	c.weightAges.startedAt = c.started
--- a/coltscontrol/registry_loop.go
+++ b/coltscontrol/registry_loop.go
@@ -36,6 +36,7 @@
 		isLeader := c.driver.view.Load().isLeader
 		if isLeader && !wasLeader {
 			c.registry.ResetDeadlines(c.cfg.Now())
+			c.poison.Reset()
 		}
 		wasLeader = isLeader
 		if !isLeader && m.poll(ctx) {
@@ -43,6 +44,7 @@
 		}
 		if isLeader {
 			c.sweepRegistry()
+			c.sweepPoison()
 		}
 		select {
 		case <-ctx.Done():
@@ -69,6 +71,22 @@
 	}
 }
 
+// sweepPoison decides again which parts of prompts are blocked.
+func (c *Control) sweepPoison() {
+	now := c.cfg.Now()
+	for _, conviction := range c.poison.Sweep(now) {
+		fields := coltslog.Fields{
+			"model": conviction.Part.Model, "part": conviction.Part.ID, "until": conviction.Until,
+			"upstreams": conviction.Crashed, "first-crash-ago-ms": now.Sub(conviction.FirstCrashAt).Milliseconds(),
+			"others-answered-ago-ms": now.Sub(conviction.OthersAnsweredAt).Milliseconds(),
+		}
+		if !conviction.AnsweredAt.IsZero() {
+			fields["answered-ago-ms"] = now.Sub(conviction.AnsweredAt).Milliseconds()
+		}
+		c.log.Warn("A part of prompts crashes upstreams; prompts with it are refused.", fields)
+	}
+}
+
 // registryMirror mirrors the leader's registry. source identifies the registry, revision is the
 // newest of its revisions that was fetched.
 type registryMirror struct {
@@ -141,13 +159,17 @@
 }
 
 // Watch returns as soon as something is newer than what the caller has, or after the wait that the
-// caller requests. It also records the heartbeat, loads, suspects and fetches in an entry's request.
+// caller requests. It also records the heartbeat, loads, suspects, crashes and fetches in an entry's
+// request.
 func (s *controlServer) Watch(ctx context.Context, r *coltspb.WatchRequest) (*coltspb.WatchReply, error) {
 	if r.GetMember() != nil {
 		member := coltswire.DecodeMember(r.GetMember())
 		s.c.roster.Heartbeat(member, s.c.cfg.Now())
 		s.c.loads.Report(member.ID, coltswire.DecodeLoads(r.GetLoads(), s.c.cfg.Now()), s.c.cfg.Now())
 		s.mergeSuspects(r)
+		if s.c.driver.view.Load().isLeader {
+			s.c.poison.Receive(coltswire.DecodePoisonReport(r, s.c.cfg.Now()), s.c.cfg.Now())
+		}
 		for _, fetch := range coltswire.DecodeStoreChanges(r.GetFetches()) {
 			s.c.catalogue.MarkFetched(fetch.Store, fetch.Key, s.c.cfg.Now())
 		}
@@ -253,6 +275,7 @@
 	now := s.c.cfg.Now()
 	reply.Loads = coltswire.EncodeLoads(s.c.loads.Others(coltsidentity.Instance(r.GetMember().GetId()), now), now)
 	reply.Suspects = s.sharedSuspects()
+	coltswire.AddPoisonVerdict(reply, s.c.poison.Verdict(), now)
 	// An entry goes on with what it has until the catalogue is complete.
 	if !s.c.catalogue.Complete() {
 		return false
--- a/coltsforward/forward_request.go
+++ b/coltsforward/forward_request.go
@@ -15,6 +15,7 @@
 	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltsbalance"
 	"coltsfootstall/coltsidentity"
+	"coltsfootstall/coltspoison"
 	"coltsfootstall/coltsroute"
 	"coltsfootstall/coltsweights"
 )
@@ -203,6 +204,16 @@
 	return r.Inbound.Parts[:len(r.Inbound.Parts)-1]
 }
 
+// ObservedParts returns the parts of the prompt that may crash upstreams: all but the last one, whatever
+// the route.
+func (r *Request) ObservedParts() []coltspoison.Part {
+	var parts []coltspoison.Part
+	for i := range len(r.Inbound.Parts) - 1 {
+		parts = append(parts, coltspoison.Part{Model: r.Inbound.Model, ID: r.Inbound.Parts[i].ID})
+	}
+	return coltspoison.Observable(parts)
+}
+
 // Tried returns the upstreams that the request was already sent to. They are not chosen
 // again.
 func (r *Request) Tried() []coltsidentity.Upstream { return r.tried }
@@ -267,8 +278,8 @@
 	return refused
 }
 
-// NoUpstreamRefusal returns the refusal for the caller if the balancer found no upstream. err is
-// the balancer's error.
+// NoUpstreamRefusal returns the refusal for the caller if no upstream was chosen. err is the
+// balancer's error, or a coltspoison.BlockedError.
 func (r *Request) NoUpstreamRefusal(err error, now time.Time) *coltsattempt.RefusedError {
 	refused := &coltsattempt.RefusedError{Outcome: r.outcome, Reason: coltsattempt.ReasonNoUpstream, Detail: err.Error()}
 	if r.outcome != coltsattempt.OutcomeNotRun {
@@ -284,6 +295,11 @@
 	if errors.As(err, &noUpstreamErr) && noUpstreamErr.Known == 0 {
 		refused.RetryAt = now.Add(retryAfterStart)
 	}
+	var blockedErr *coltspoison.BlockedError
+	if errors.As(err, &blockedErr) {
+		refused.Reason = coltsattempt.ReasonQuarantined
+		refused.RetryAt = blockedErr.Until
+	}
 	return refused
 }
 
--- a/coltsgateway/control_reply.go
+++ b/coltsgateway/control_reply.go
@@ -29,6 +29,7 @@
 		w.source, w.sourceSince = reply.GetSource(), now
 		clear(w.listed)
 		clear(w.reportedCrashes)
+		w.g.poison.Forget()
 	}
 	if reply.GetWeightsRevision() != w.weightsRevision || len(reply.GetWeights()) > 0 {
 		w.weightsRevision = reply.GetWeightsRevision()
@@ -47,9 +48,21 @@
 		w.g.balancer.SetPeerLoads(coltswire.DecodeLoads(reply.GetLoads(), now), now)
 		w.g.capacityFreed.Broadcast()
 		w.mergeSuspects(reply, now)
+		w.applyPoison(reply, now)
 	}
 }
 
+// applyPoison applies which parts of prompts are blocked.
+func (w *controlWatcher) applyPoison(reply *coltspb.WatchReply, now time.Time) {
+	verdict := coltswire.DecodePoisonVerdict(reply, now)
+	for _, b := range w.g.poison.Apply(verdict) {
+		w.g.log.Warn("A part of prompts crashes upstreams; prompts with it are refused.", coltslog.Fields{
+			"model": b.Part.Model, "part": b.Part.ID, "until": b.Until, "source": w.source,
+		})
+	}
+	w.g.metrics.Put(coltsmetric.PartsBlocked, int64(len(verdict.Blocks)))
+}
+
 // mergeSuspects merges the requests that other instances saw crash upstreams.
 func (w *controlWatcher) mergeSuspects(reply *coltspb.WatchReply, now time.Time) {
 	for _, m := range reply.GetSuspects() {
--- a/coltsgateway/control_watch.go
+++ b/coltsgateway/control_watch.go
@@ -147,7 +147,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
-	return client.Watch(ctx, &coltspb.WatchRequest{
+	request := &coltspb.WatchRequest{
 		Member: coltswire.EncodeMember(coltsmembership.Member{
 			ID:         coltsidentity.Instance(w.g.cfg.Settings.Instance),
 			Role:       coltsmembership.RoleEntry,
@@ -165,7 +165,9 @@
 		Suspects:         coltswire.EncodeSuspects(w.unreportedSuspects()),
 		Fetches:          coltswire.EncodeStoreChanges(w.g.stores.TakeFetches()),
 		WaitNanos:        int64(longPollWait),
-	})
+	}
+	coltswire.AddPoisonReport(request, w.g.poison.TakeReport(w.g.now()), w.g.now())
+	return client.Watch(ctx, request)
 }
 
 // recordFailure records that a control instance failed to reply.
@@ -177,6 +179,7 @@
 	}
 	w.avoidUntil[addr] = w.g.now().Add(avoid)
 	clear(w.reportedCrashes)
+	w.g.poison.Forget()
 	if !w.connected {
 		return
 	}
--- a/coltsgateway/forward_buffered.go
+++ b/coltsgateway/forward_buffered.go
@@ -36,6 +36,7 @@
 			"upstream %s answered status %d", f.choice.Upstream.ID, status)
 	}
 	f.status = status
+	f.g.poison.RecordAnswer(f.parts, f.g.now())
 	f.completed = f.write(text)
 	return nil
 }
--- a/coltsgateway/forward_capacity.go
+++ b/coltsgateway/forward_capacity.go
@@ -16,6 +16,9 @@
 // choose returns the upstream for the next attempt, waiting if none has capacity.
 func (f *forwarding) choose(ctx context.Context) (coltsbalance.Choice, error) {
 	now := f.g.now()
+	if err := f.g.poison.Check(f.parts, now); err != nil {
+		return coltsbalance.Choice{}, err
+	}
 	demand := f.demand()
 	mustQueue := demand.Limit > 0 && f.g.queue.MustWait(f.lifecycle.Service, f.lifecycle.Priority(), now)
 	if !mustQueue {
@@ -37,6 +40,9 @@
 	for {
 		freed := f.g.capacityFreed.Channel()
 		now := f.g.now()
+		if err := f.g.poison.Check(f.parts, now); err != nil {
+			return coltsbalance.Choice{}, err
+		}
 		full := &coltsbalance.FullError{Service: f.lifecycle.Service, Waiting: f.g.queue.Len(f.lifecycle.Service)}
 		if f.g.queue.IsFirst(ticket, now) {
 			choice, err := f.g.balancer.Choose(f.demand(), now)
--- a/coltsgateway/forward_request.go
+++ b/coltsgateway/forward_request.go
@@ -16,6 +16,7 @@
 	"coltsfootstall/coltsforward"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltsmetric"
+	"coltsfootstall/coltspoison"
 	"coltsfootstall/coltsroute"
 	"coltsfootstall/coltsstore"
 )
@@ -31,9 +32,11 @@
 	// req is the request as it was received, lifecycle its route, deadlines and attempts so far.
 	req       *fasthttp.Request
 	lifecycle *coltsforward.Request
-	table     *coltsroute.Index
-	choice    coltsbalance.Choice
-	plan      coltsstore.Plan
+	// parts are the parts of the prompt that are observed for crashes.
+	parts  []coltspoison.Part
+	table  *coltsroute.Index
+	choice coltsbalance.Choice
+	plan   coltsstore.Plan
 	// closeConn is set if the connection is to be closed after this request.
 	closeConn bool
 	// lastEventID is the ID of the newest event sent to the caller, or the one after which the
@@ -50,6 +53,8 @@
 	firstAt time.Time
 	// completed is set once the whole response has been sent to the caller.
 	completed bool
+	// crashes is the number of attempts at whose beginning the upstream crashed.
+	crashes int
 	// eventReads is the number of times that events of the current attempt's response were passed on.
 	eventReads int
 	// lastForwardedAt is when events were last passed on, longestPause the longest time
@@ -78,6 +83,7 @@
 	if err != nil {
 		return f.refuseError(incoming.ID, err)
 	}
+	f.parts = f.lifecycle.ObservedParts()
 	f.lastEventID = incoming.LastEventID
 	f.conn.nc.SetWriteLimit(f.lifecycle.Deadline().Add(writeGrace))
 	defer f.conn.nc.SetWriteLimit(time.Time{})
--- a/coltsgateway/forward_stream.go
+++ b/coltsgateway/forward_stream.go
@@ -36,6 +36,7 @@
 		}
 		if ended {
 			f.completed = true
+			f.g.poison.RecordAnswer(f.parts, f.g.now())
 			return nil
 		}
 	}
@@ -139,6 +140,9 @@
 func (f *forwarding) recordEvents(events []byte) {
 	f.lifecycle.AnswerStarted()
 	f.eventReads++
+	if f.eventReads == beginningReads+1 {
+		f.g.poison.RecordAnswer(f.parts, f.g.now())
+	}
 	f.recordGap()
 	if !f.lifecycle.Route.Resumable {
 		return
--- a/coltsgateway/forward_suspect.go
+++ b/coltsgateway/forward_suspect.go
@@ -1,7 +1,8 @@
 package coltsgateway
 
 // A request that crashes every upstream that runs it is often retried, here or at another
-// instance. Crashes are counted by the request's fingerprint and shared among all instances.
+// instance. Crashes are counted by the request's fingerprint and, as no two requests may be alike, by
+// the parts of its prompt. Both are shared among all instances.
 
 import (
 	"context"
@@ -11,14 +12,18 @@
 
 	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltsbalance"
-	"coltsfootstall/coltsforward"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslog"
+	"coltsfootstall/coltspoison"
 )
 
 // crashProbeTimeout bounds the check whether an upstream still accepts connections.
 const crashProbeTimeout = 300 * time.Millisecond
 
+// beginningReads is how often events may have been passed on for an answer to count as just begun. The
+// first ones may still arrive from an upstream that crashes over them.
+const beginningReads = 1
+
 // fingerprint returns a digest of the request's method, host, target, organisation and body.
 // Requests with the same fingerprint count as the same request.
 func (f *forwarding) fingerprint() coltsidentity.Digest {
@@ -56,7 +61,7 @@
 	}
 	probeCtx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
 	defer cancel()
-	upstream := f.choice.Upstream
+	upstream, crashedAt := f.choice.Upstream, f.g.now()
 	if f.g.pool.CanConnect(probeCtx, upstream.Addr) || ctx.Err() != nil {
 		return
 	}
@@ -67,8 +72,14 @@
 	f.g.log.Warn("An upstream crashed while it ran a request.", coltslog.Fields{
 		"request": f.lifecycle.Inbound.ID, "upstream": upstream.ID,
 		"fingerprint": suspect.Fingerprint, "crashes": len(suspect.Upstreams),
-		"parts": partIDs(f.lifecycle.SharedParts()), "event-reads": f.eventReads,
+		"parts": partIDs(f.parts), "event-reads": f.eventReads,
 	})
+	if f.eventReads <= beginningReads {
+		f.g.poison.RecordCrash(coltspoison.Crash{
+			Upstream: process, At: crashedAt, Parts: f.parts, Repeated: f.crashes > 0,
+		})
+		f.crashes++
+	}
 }
 
 // clearSuspicion removes the suspicion from a request that has ended successfully.
@@ -79,7 +90,7 @@
 }
 
 // partIDs returns the IDs of parts of a prompt.
-func partIDs(parts []coltsforward.Part) []string {
+func partIDs(parts []coltspoison.Part) []string {
 	ids := make([]string, len(parts))
 	for i, part := range parts {
 		ids[i] = part.ID
--- a/coltsgateway/gateway.go
+++ b/coltsgateway/gateway.go
@@ -20,6 +20,7 @@
 	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsloop"
 	"coltsfootstall/coltsmetric"
+	"coltsfootstall/coltspoison"
 	"coltsfootstall/coltspool"
 	"coltsfootstall/coltsroute"
 	"coltsfootstall/coltssettings"
@@ -72,7 +73,9 @@
 	budget        *coltsattempt.RetryWindow
 	// suspects are the requests that crashed upstreams, as seen by this or other instances.
 	suspects *coltsattempt.Quarantine
-	pool     *coltspool.Pool
+	// poison knows the parts of prompts that crash upstreams, from control.
+	poison *coltspoison.Observer
+	pool   *coltspool.Pool
 	// buffers bounds the memory for bodies that are buffered.
 	buffers *coltsbuffer.Budget
 	watcher *controlWatcher
@@ -119,6 +122,7 @@
 			Policy: coltsbalance.Policy(cfg.Settings.Gateway.RoutingPolicy),
 		}),
 		suspects:      coltsattempt.NewQuarantine(coltsattempt.QuarantineConfig{Crashes: crashesToQuarantine}),
+		poison:        coltspoison.NewObserver(),
 		stores:        coltsstore.NewDirectory(),
 		queue:         coltsbalance.NewQueue(),
 		capacityFreed: coltsloop.NewSignal(),
