Take a stream that ends inside an event as broken off

A caller got half an event and an end that looked complete when an upstream broke off inside an event and its channel, last chunk or length ended there.

Cause: at the end of the body whatever was left was passed on with the last chunk, whether or not it was a whole event. With a body that has neither a length nor chunks, each end of the connection is an end of the body. Change: what follows the last whole event, blank lines aside, makes the stream one that broke off; it is resumed where the route allows, and truncated otherwise. Evidence: six subtests of TestStreamEnds failed before and pass.

--- a/coltsgateway/forward_stream.go
+++ b/coltsgateway/forward_stream.go
@@ -68,13 +68,19 @@
 	}
 	n, err := s.x.body.Read(s.buffer[len(s.buffer):cap(s.buffer)])
 	s.buffer = s.buffer[:len(s.buffer)+n]
-	if errors.Is(err, io.EOF) {
-		return true, s.forward(len(s.buffer), true)
+	end := endOfEvents(s.buffer)
+	ended := errors.Is(err, io.EOF)
+	if ended && len(bytes.TrimSpace(s.buffer[end:])) > 0 {
+		// Whatever the framing says, the rest of this event is missing.
+		ended, err = false, io.ErrUnexpectedEOF
 	}
-	if forwardErr := s.forward(endOfEvents(s.buffer), false); forwardErr != nil {
+	if ended {
+		end, err = len(s.buffer), nil
+	}
+	if forwardErr := s.forward(end, ended); forwardErr != nil {
 		return false, forwardErr
 	}
-	return false, err
+	return ended, err
 }
 
 // endOfEvents returns the index just behind the last complete event, 0 if there is none.
