Resume a stream only with events that come after those the caller has

A caller whose stream had broken off got the text of another upstream's message in its middle and an end that looked complete if that upstream answered with status 200 but no stream, and all events a second time if it began again from the start.

Cause: an answer with status 200 was taken as the rest of the stream, whatever its type, and its events were not compared with those passed on. Change: an answer of another media type resumes nothing, and neither do events whose number is not above the last one passed on; the attempt has failed then.

--- a/coltsgateway/forward_request.go
+++ b/coltsgateway/forward_request.go
@@ -186,13 +186,13 @@
 		return failure
 	}
 	defer x.close()
-	if f.lifecycle.Route.Kind == coltsroute.KindStreaming && x.resp.StatusCode() == fasthttp.StatusOK {
+	if f.lifecycle.Route.Kind == coltsroute.KindStreaming && x.resp.StatusCode() == fasthttp.StatusOK && mayBeEvents(x.resp) {
 		return f.forwardStream(x)
 	}
 	if f.headSent {
 		return newAttemptError(coltsattempt.PhaseSent, coltsbalance.OutcomeAnswered,
-			"upstream %s answered status %d instead of resuming the stream",
-			f.choice.Upstream.ID, x.resp.StatusCode())
+			"upstream %s answered status %d of type %q instead of resuming the stream",
+			f.choice.Upstream.ID, x.resp.StatusCode(), x.resp.ContentType())
 	}
 	return f.forwardBuffered(x)
 }
--- a/coltsgateway/forward_stream.go
+++ b/coltsgateway/forward_stream.go
@@ -8,8 +8,10 @@
 	"bytes"
 	"io"
 	"slices"
+	"strconv"
 
 	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
 
 	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltsbalance"
@@ -42,6 +44,13 @@
 	}
 }
 
+// mayBeEvents reports whether a response is a stream of events, or does not say what it is.
+func mayBeEvents(resp *fasthttp.ResponseHeader) bool {
+	mediaType, _, _ := bytes.Cut(resp.ContentType(), []byte(";"))
+	mediaType = bytes.TrimSpace(mediaType)
+	return len(mediaType) == 0 || bytes.EqualFold(mediaType, []byte("text/event-stream"))
+}
+
 // errCallerDisconnected reports that the caller closed its connection.
 var errCallerDisconnected = errors.New("the caller disconnected")
 
@@ -101,6 +110,9 @@
 	if n == 0 && !last {
 		return nil
 	}
+	if err := s.f.checkResumed(s.buffer[:n]); err != nil {
+		return err
+	}
 	s.out = s.out[:0]
 	if !s.f.headSent {
 		s.out = s.f.appendStreamHead(s.out, s.x)
@@ -142,6 +154,20 @@
 	f.lastForwardedAt = now
 }
 
+// checkResumed returns an error if the first events of an attempt that resumes a stream are not behind
+// those that the caller has. Only IDs that are numbers can be compared.
+func (f *forwarding) checkResumed(events []byte) error {
+	if f.lastEventID == "" || f.eventReads > 0 {
+		return nil
+	}
+	last, lastErr := strconv.ParseUint(f.lastEventID, 10, 64)
+	first, firstErr := strconv.ParseUint(string(f.g.dialect.EventID(events)), 10, 64)
+	if lastErr != nil || firstErr != nil || first > last {
+		return nil
+	}
+	return errors.Errorf("it was resumed at event %d, though the caller has event %d", first, last)
+}
+
 // recordEvents records the ID of the newest event that is being sent to the caller.
 func (f *forwarding) recordEvents(events []byte) {
 	f.lifecycle.AnswerStarted()
