Don't send a request on a connection that has carried one with its ID

A caller that used an ID again could be told 'not run' by a second copy of the refusal to the earlier request, though the runner was running the new one.

Cause: a connection remembered the ID of its newest request only, so a copy of an older response with the same ID passed as the answer. Change: a connection remembers the IDs of its 16 newest requests. Copies with other IDs, without one and instead of an answer were told apart before: those four cases of TestCopiedRefusals passed. Evidence: the case of a later request with its ID failed in most runs before, and passes three times in a row with the race detector. Not covered: the same ID again after more than 16 others.

--- a/coltsgateway/upstream_exchange.go
+++ b/coltsgateway/upstream_exchange.go
@@ -111,8 +111,8 @@
 }
 
 // connect returns a connection to an upstream on which responses can be matched with the request. A
-// connection that has just carried a request with the same ID may still receive a second copy of
-// the response to that one, and for a request without an ID no connection is safe that has carried
+// connection that has carried a request with the same ID may still receive a second copy of the
+// response to that one, and for a request without an ID no connection is safe that has carried
 // another.
 func (g *Gateway) connect(ctx context.Context, addr netip.AddrPort, out outgoingRequest) (*coltspool.Conn, error) {
 	ctx, cancel := context.WithDeadline(ctx, out.deadline)
@@ -122,8 +122,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if !conn.Reused || out.id != "" && conn.RequestID != out.id {
-			conn.RequestID = out.id
+		if !conn.Reused || out.id != "" && !conn.Carries(out.id) {
+			conn.RecordRequest(out.id)
 			return conn, nil
 		}
 		g.pool.Drop(conn)
--- a/coltspool/pool.go
+++ b/coltspool/pool.go
@@ -12,6 +12,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -44,13 +45,27 @@
 	ExpiresAt time.Time
 	// Reused is set once the connection has been in the pool, so it may have carried a request.
 	Reused bool
-	// RequestID is the ID of the newest request sent on the connection, empty if unknown. Only the
-	// user of the connection reads and sets it.
-	RequestID string
+	// carried holds the hashes of the IDs of the newest requests sent on the connection, next the index
+	// of the oldest. Only the user of the connection reads and sets them.
+	carried [carriedIDs]uint64
+	next    int
 	// idleSince is when the connection was last returned to the pool.
 	idleSince time.Time
 }
 
+// carriedIDs is the number of requests whose IDs a connection remembers.
+const carriedIDs = 16
+
+// Carries reports whether a request with this ID was among the newest ones sent on the connection. A
+// second copy of the response to that one could not be told from the response to another.
+func (c *Conn) Carries(id string) bool { return slices.Contains(c.carried[:], coltsshard.Hash(id)) }
+
+// RecordRequest records that a request with this ID is being sent on the connection.
+func (c *Conn) RecordRequest(id string) {
+	c.carried[c.next] = coltsshard.Hash(id)
+	c.next = (c.next + 1) % carriedIDs
+}
+
 // Config is the configuration of a pool. Zero fields get their defaults.
 type Config struct {
 	// Dial opens a connection; nil for TCP.
