--- a/coltspoison/poison_observer.go
+++ b/coltspoison/poison_observer.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"coltsfootstall/coltsshard"
 )
@@ -55,7 +56,8 @@
 func Observable(parts []Part) []Part {
 	var observable []Part
 	for _, p := range parts[:min(len(parts), maxParts)] {
-		if p.ID != "" && len(p.ID) <= maxIDBytes {
+		// What is no text can't be reported to control.
+		if p.ID != "" && len(p.ID) <= maxIDBytes && utf8.ValidString(p.ID) && utf8.ValidString(string(p.Model)) {
 			observable = append(observable, p)
 		}
 	}
--- a/coltspoison/poison_test.go
+++ b/coltspoison/poison_test.go
@@ -239,7 +239,7 @@
 		for i := range many {
 			many[i] = part(fmt.Sprint(i))
 		}
-		assert.Equal(t, len(Observable(parts("", string(long), "a"))), 1)
+		assert.Equal(t, len(Observable(parts("", string(long), "a\xff", "a"))), 1)
 		assert.Equal(t, len(Observable(many)), maxParts)
 	})
 	t.Run("a verdict names no more parts than it may", func(t *testing.T) {
--- a/coltsregistry/registry.go
+++ b/coltsregistry/registry.go
@@ -78,8 +78,12 @@
 }
 
 // Report applies an upstream's report about itself and reports whether it changed the
-// entry. It returns a StaleError if the report is out of date.
+// entry. It returns a StaleError if the report is out of date, and an InvalidError if it can't be
+// true.
 func (r *Registry) Report(u Upstream, now time.Time) (bool, error) {
+	if err := u.Validate(now); err != nil {
+		return false, err
+	}
 	previousOwner, claimed := r.claimAddr(u)
 	if !claimed {
 		return false, &StaleError{ID: u.ID, Reason: "another process owns its address"}
--- a/coltsregistry/registry_upstream.go
+++ b/coltsregistry/registry_upstream.go
@@ -15,6 +15,7 @@
 	"net/netip"
 	"slices"
 	"time"
+	"unicode/utf8"
 
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltsweights"
@@ -65,6 +66,49 @@
 	Sequence uint64
 }
 
+const (
+	// maxIDBytes is the length of the longest ID.
+	maxIDBytes = 256
+	// maxNumber bounds the numbers that only grow. Beyond it, no sound report could follow.
+	maxNumber = 1 << 53
+	// maxClockLead is how far a process's start may seem to lie in the future, because clocks differ.
+	maxClockLead = time.Hour
+)
+
+// InvalidError is returned for a report that no sound upstream would make.
+type InvalidError struct {
+	ID     coltsidentity.Upstream
+	Reason string
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("report of %q is invalid: %s", string(e.ID), e.Reason)
+}
+
+// Validate returns an InvalidError if no sound upstream would make this report. Another program's report could
+// otherwise keep the upstream's own ones from being accepted, or take over its address.
+func (u Upstream) Validate(now time.Time) error {
+	reason := ""
+	switch {
+	case u.ID == "" || len(u.ID) > maxIDBytes || !utf8.ValidString(string(u.ID)):
+		reason = "its ID is empty, too long or no text"
+	case u.Addr.Port() == 0 || u.Addr.Addr().IsUnspecified() || u.Addr.Addr().IsMulticast() || u.Addr.Addr().Zone() != "":
+		reason = "no upstream can be reached at " + u.Addr.String()
+	case u.Slots < 0:
+		reason = "it has a negative number of slots"
+	case u.Sequence > maxNumber:
+		reason = "its sequence is too large"
+	case u.StartedAt.After(now.Add(maxClockLead)):
+		reason = "its process has not started yet"
+	case slices.ContainsFunc(u.Weights, func(w coltsweights.Weights) bool { return w.Number > maxNumber }):
+		reason = "a weights version is too large"
+	default:
+		return nil
+	}
+	return &InvalidError{ID: u.ID, Reason: reason}
+}
+
 // mergeWeights returns the weights of the report. If known comes from the same process,
 // it keeps the higher number of each model: the report may have been written before a
 // load finished, so its number can be lower than the known one.
