Send nothing to upstreams that are leaving or have asked for a pause

Requests went to runners that had already said in a response that they are leaving, and to runners that had asked for a pause with 503 and Retry-After: they were turned away there, or held up a drain.

Cause: no header of a response but the ID, the seal and the refusal was looked at; only reports to control changed where requests go. The entry used Retry-After for its callers only, and a number of seconds beyond 292 years became a time in the past. Change: coltsadvice.Advice holds, by process, that it is leaving and until when it pauses; the balancer of gateways and the fleet of entries keep one for each upstream. It is read from every head, checked at the choice and again before the send. After a pause one request goes alone; the others follow its outcome. If all upstreams pause, requests wait if that is early enough and are refused at once otherwise, with the end of the first pause and a spread of a second. Control learns of leaving processes, tells the others, and no report of the same process takes it back. A pause is no failure.

--- /dev/null
+++ b/coltsbalance/balance_advice.go
@@ -0,0 +1,59 @@
+package coltsbalance
+
+// What upstreams say about further requests: the balancer keeps it by process and lets requests wait
+// or go elsewhere. coltsadvice holds the rules.
+
+import (
+	"time"
+
+	"coltsfootstall/coltsadvice"
+	"coltsfootstall/coltsidentity"
+	"coltsfootstall/coltsregistry"
+	"coltsfootstall/coltsshard"
+)
+
+// RecordLeaving records that a process has said that it is leaving, and reports whether this is news.
+func (b *Balancer) RecordLeaving(id coltsidentity.Upstream, startedAt time.Time) bool {
+	return b.advise(id, func(a *coltsadvice.Advice) bool { return a.Leave(startedAt) })
+}
+
+// RecordPause records that a process wants no request until a time, and reports whether this begins a
+// pause or extends it noticeably.
+func (b *Balancer) RecordPause(id coltsidentity.Upstream, startedAt, until, now time.Time) bool {
+	return b.advise(id, func(a *coltsadvice.Advice) bool { return a.Pause(startedAt, until, now) })
+}
+
+func (b *Balancer) advise(id coltsidentity.Upstream, change func(a *coltsadvice.Advice) bool) bool {
+	s := &b.shards[coltsshard.Of(id)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u, known := s.upstreams[id]
+	return known && change(&u.advice)
+}
+
+// IsWithdrawn reports whether the upstream of a choice has asked for a pause, or said that it is leaving,
+// since the choice.
+func (b *Balancer) IsWithdrawn(c Choice, now time.Time) bool {
+	s := &b.shards[coltsshard.Of(c.Upstream.ID)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u, known := s.upstreams[c.Upstream.ID]
+	return known && u.advice.Withdraws(c.Trial, now)
+}
+
+// Leaving returns the processes that have said to this instance that they are leaving, and that control
+// still reports as ready.
+func (b *Balancer) Leaving() []coltsregistry.Process {
+	var leaving []coltsregistry.Process
+	for i := range b.shards {
+		s := &b.shards[i]
+		s.mu.Lock()
+		for id, u := range s.upstreams {
+			if u.advice.Leaving() && u.record.State == coltsregistry.StateReady {
+				leaving = append(leaving, coltsregistry.Process{ID: id, StartedAt: u.record.StartedAt})
+			}
+		}
+		s.mu.Unlock()
+	}
+	return leaving
+}
--- a/coltsbalance/balance_upstream.go
+++ b/coltsbalance/balance_upstream.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"time"
 
+	"coltsfootstall/coltsadvice"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltsregistry"
 	"coltsfootstall/coltsweights"
@@ -81,6 +82,8 @@
 	// Load is the known load of the upstream including this request, as a share of the
 	// demand's capacity.
 	Load float64
+	// Trial reports whether the request is the first one to the upstream after a pause.
+	Trial bool
 	// Home reports whether the upstream is the home of the demand's affinity key.
 	Home bool
 }
@@ -117,6 +120,19 @@
 	Known int
 }
 
+// PausedError reports that each usable upstream of a service has asked for a pause.
+type PausedError struct {
+	Service coltsidentity.Service
+	// Until is when the first of these pauses ends.
+	Until time.Time
+}
+
+// Error returns the service and the end of the pause.
+func (e *PausedError) Error() string {
+	return fmt.Sprintf("the upstreams of service %q have asked for a pause, the first until %s",
+		e.Service, e.Until.Format(time.RFC3339Nano))
+}
+
 // Error returns the service and the number of its known upstreams.
 func (e *NoUpstreamError) Error() string {
 	return fmt.Sprintf("service %q has no usable upstream (%d known)", e.Service, e.Known)
@@ -143,6 +159,8 @@
 	record coltsregistry.Upstream
 	// silent reports whether the upstream's heartbeats to control are overdue.
 	silent bool
+	// advice is what the upstream has said about further requests.
+	advice coltsadvice.Advice
 	// loading reports whether the upstream is loading weights.
 	loading bool
 	// running is the number of this instance's in-flight requests at the upstream, and load
@@ -174,9 +192,9 @@
 // heard records that this instance got a byte from the upstream.
 func (u *upstream) heard(now time.Time) { u.heardAt, u.waitingSince = now, now }
 
-// usable reports whether new requests may be sent to the upstream.
+// usable reports whether new requests may be sent to the upstream, now or after a pause.
 func (u *upstream) usable(now time.Time) bool {
-	return u.record.State == coltsregistry.StateReady && (!u.silent || now.Before(u.aliveUntil))
+	return !u.advice.Leaving() && u.record.State == coltsregistry.StateReady && (!u.silent || now.Before(u.aliveUntil))
 }
 
 // totalLoad returns the known load of all instances.
--- a/coltsbalance/balancer.go
+++ b/coltsbalance/balancer.go
@@ -84,6 +84,7 @@
 	if known && e.Upstream.StartedAt.After(u.record.StartedAt) {
 		u.failures, u.backoffUntil = 0, time.Time{}
 	}
+	u.advice.Restart(e.Upstream.StartedAt)
 	u.record, u.silent, u.loading = e.Upstream, e.Silent, e.Loading
 }
 
@@ -123,9 +124,10 @@
 }
 
 // Choose chooses the upstream for a demand and adds the demand to its load. It returns a
-// NoUpstreamError if the service has no usable upstream, and a FullError if none has room.
+// NoUpstreamError if the service has no usable upstream, a PausedError if each of them has asked for a
+// pause, and a FullError if none has room.
 func (b *Balancer) Choose(d Demand, now time.Time) (Choice, error) {
-	candidates, known := b.candidates(d, now)
+	candidates, known, pausedUntil := b.candidates(d, now)
 	if b.cfg.Policy == PolicyRoundRobin {
 		d.Limit = 0
 	}
@@ -141,13 +143,18 @@
 		}
 		candidates = slices.Delete(candidates, i, i+1)
 	}
+	if !pausedUntil.IsZero() {
+		return Choice{}, &PausedError{Service: d.Service, Until: pausedUntil}
+	}
 	return Choice{}, &NoUpstreamError{Service: d.Service, Known: known}
 }
 
-// candidates returns the upstreams that may be chosen and the number of the service's known
-// upstreams. Avoided upstreams are candidates only if there are no others.
-func (b *Balancer) candidates(d Demand, now time.Time) ([]candidate, int) {
+// candidates returns the upstreams that may be chosen, the number of the service's known upstreams,
+// and when the first pause of one that could be chosen otherwise ends. Avoided upstreams are candidates only
+// if there are no others.
+func (b *Balancer) candidates(d Demand, now time.Time) ([]candidate, int, time.Time) {
 	var all []candidate
+	var pausedUntil time.Time
 	known, preferred := 0, 0
 	for i := range b.shards {
 		s := &b.shards[i]
@@ -160,6 +167,12 @@
 			if !u.usable(now) || slices.Contains(d.Exclude, id) || u.weightsVersion(d.Model) < d.MinWeights {
 				continue
 			}
+			if until := u.advice.PausedUntil(now); !until.IsZero() {
+				if pausedUntil.IsZero() || until.Before(pausedUntil) {
+					pausedUntil = until
+				}
+				continue
+			}
 			c := candidate{id: id, load: u.totalLoad(now), avoided: u.avoided(now), score: coltsshard.RendezvousScore(d.Affinity, id),
 				inCacheDataCentre: d.CacheDataCentre != "" && u.record.DataCentre == d.CacheDataCentre, prefill: u.prefill}
 			if now.Before(u.gapUntil) {
@@ -176,7 +189,7 @@
 		all = slices.DeleteFunc(all, func(c candidate) bool { return c.avoided })
 	}
 	setSlowdowns(all)
-	return all, known
+	return all, known, pausedUntil
 }
 
 // pick returns the index of the chosen candidate and whether it is the demand's home. The
@@ -252,7 +265,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u, known := s.upstreams[id]
-	if !known || !u.usable(now) {
+	if !known || !u.usable(now) || !u.advice.Admits(now) {
 		return Choice{}, false
 	}
 	if u.running == 0 {
@@ -263,6 +276,7 @@
 	u.prefill += d.Prefill
 	return Choice{
 		Upstream: u.record, Weight: d.Weight, Prefill: d.Prefill, Running: u.running, Load: u.totalLoad(now) / max(1, d.Capacity),
+		Trial: u.advice.Sent(now),
 	}, true
 }
 
@@ -275,6 +289,9 @@
 	if u, known := s.upstreams[c.Upstream.ID]; known {
 		u.prefill = max(0, u.prefill-c.Prefill)
 		u.heard(now)
+		if c.Trial {
+			u.advice.TrialEnded()
+		}
 	}
 	c.Prefill = 0
 }
@@ -299,6 +316,9 @@
 	}
 	if u.record.StartedAt.Equal(c.Upstream.StartedAt) {
 		u.recordOutcome(outcome, now)
+		if c.Trial {
+			u.advice.TrialEnded()
+		}
 	}
 }
 
--- a/coltscontrol/registry_loop.go
+++ b/coltscontrol/registry_loop.go
@@ -169,6 +169,7 @@
 		s.mergeSuspects(r)
 		if s.c.driver.view.Load().isLeader {
 			s.c.poison.Receive(coltswire.DecodePoisonReport(r, s.c.cfg.Now()), s.c.cfg.Now())
+			s.recordLeaving(r)
 		}
 		for _, fetch := range coltswire.DecodeStoreChanges(r.GetFetches()) {
 			s.c.catalogue.MarkFetched(fetch.Store, fetch.Key, s.c.cfg.Now())
@@ -195,6 +196,19 @@
 	}
 }
 
+// recordLeaving records the processes that have told an entry that they are leaving.
+func (s *controlServer) recordLeaving(r *coltspb.WatchRequest) {
+	for _, p := range coltswire.DecodeProcesses(r.GetLeaving()) {
+		if !s.c.registry.RecordLeaving(p) {
+			continue
+		}
+		s.c.log.Info("An upstream has told an entry that it is leaving.", coltslog.Fields{
+			"upstream": p.ID, "started": p.StartedAt, "entry": r.GetMember().GetId(),
+		})
+		s.c.watchChanged.Broadcast()
+	}
+}
+
 // watchReply returns what is newer than what the caller has, and reports whether any of it should be
 // sent without further waiting.
 func (s *controlServer) watchReply(r *coltspb.WatchRequest) (*coltspb.WatchReply, bool) {
--- a/coltsfleet/fleet.go
+++ b/coltsfleet/fleet.go
@@ -179,6 +179,7 @@
 func (f *Fleet) RecordDispatch(id coltsidentity.Upstream, tokens int64, now time.Time) {
 	f.update(id, func(u *upstream) {
 		u.inFlight++
+		u.advice.Sent(now)
 		if tokens > 0 {
 			u.queuedTokens += tokens
 			u.prefillsSentAt = append(u.prefillsSentAt, now)
@@ -209,6 +210,11 @@
 	f.update(id, func(u *upstream) { u.removePrefill(tokens, sentAt) })
 }
 
+// RecordPause records that an upstream wants no request until a time. It is no failure.
+func (f *Fleet) RecordPause(id coltsidentity.Upstream, until, now time.Time) {
+	f.update(id, func(u *upstream) { u.advice.Pause(u.announcement.Incarnation, until, now) })
+}
+
 // RecordSuccess records that a request ended successfully, and resets the upstream's
 // counts of consecutive failures and ejections.
 func (f *Fleet) RecordSuccess(id coltsidentity.Upstream) {
--- a/coltsfleet/fleet_test.go
+++ b/coltsfleet/fleet_test.go
@@ -157,6 +157,35 @@
 	})
 }
 
+func TestPause(t *testing.T) {
+	f := New()
+	announce(t, f, runnerAnnouncement("r0", 1), start)
+	pauseEnd := start.Add(5 * time.Second)
+	assertDraining := func(t *testing.T, now time.Time, want bool) {
+		t.Helper()
+		assert.Equal(t, f.All(testDocument(), now)[0].Draining, want)
+	}
+	t.Run("an upstream gets no work until its end, and is not ejected", func(t *testing.T) {
+		f.RecordPause("r0", pauseEnd, start)
+		assertDraining(t, start, true)
+		assert.Assert(t, !f.All(testDocument(), start)[0].Ejected)
+		assertDraining(t, pauseEnd, false)
+	})
+	t.Run("the first request after it goes alone", func(t *testing.T) {
+		f.RecordDispatch("r0", 0, pauseEnd)
+		assertDraining(t, pauseEnd, true)
+		f.RecordSuccess("r0")
+		assertDraining(t, pauseEnd, false)
+	})
+	t.Run("a new process is free of it", func(t *testing.T) {
+		f.RecordPause("r0", pauseEnd, start)
+		restarted := runnerAnnouncement("r0", 1)
+		restarted.Incarnation = start.Add(time.Second)
+		announce(t, f, restarted, start)
+		assertDraining(t, start, false)
+	})
+}
+
 func TestRates(t *testing.T) {
 	singleRunnerFleet := func(t *testing.T) *Fleet {
 		t.Helper()
--- a/coltsfleet/upstream.go
+++ b/coltsfleet/upstream.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"coltsfootstall/coltsadvice"
 	"coltsfootstall/coltsdocument"
 )
 
@@ -65,6 +66,8 @@
 	failures     int
 	ejections    int
 	ejectedUntil time.Time
+	// advice is what the upstream has said about further requests.
+	advice coltsadvice.Advice
 	// changeNumber is the fleet's change number of the newest announcement to be passed
 	// on to other entries. From propagateAt on, the next announcement is passed on
 	// even if it contains no relevant change.
@@ -87,6 +90,8 @@
 	Ejected bool
 	// Draining is set if the upstream must not get new work.
 	Draining bool
+	// PausedUntil is when a pause ends that the upstream has asked for; zero if it may get work.
+	PausedUntil time.Time
 }
 
 func (u *upstream) candidate(d coltsdocument.Document, now time.Time) Candidate {
@@ -98,7 +103,8 @@
 		QueuedTokens:     max(u.queuedTokens, u.remainingQueue(rate, now)),
 		PrefillPerSecond: rate,
 		Ejected:          now.Before(u.ejectedUntil),
-		Draining:         a.Leaving || d.IsDraining(a.ID),
+		Draining:         a.Leaving || d.IsDraining(a.ID) || !u.advice.Admits(now),
+		PausedUntil:      u.advice.PausedUntil(now),
 	}
 }
 
@@ -148,10 +154,12 @@
 	return defaultPrefillPerSecond
 }
 
-// requestEnded decrements the number of in-flight requests. The number doesn't go
+// requestEnded decrements the number of in-flight requests, and lets others follow if it was the first one
+// after a pause. The number doesn't go
 // below zero, since the request may have been sent to an earlier incarnation.
 func (u *upstream) requestEnded() {
 	u.inFlight = max(0, u.inFlight-1)
+	u.advice.TrialEnded()
 }
 
 // removePrefill removes the prefill that was sent at sentAt, and its tokens. Like
--- a/coltsforward/forward_request.go
+++ b/coltsforward/forward_request.go
@@ -8,6 +8,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"time"
@@ -48,6 +49,9 @@
 	retryAfterStart = 2 * time.Second
 )
 
+// retrySpread is the time over which callers that were refused until the same moment come back.
+const retrySpread = time.Second
+
 // Part is one part of a prompt. Requests that have a part with the same ID can share its KV
 // cache.
 type Part struct {
@@ -295,6 +299,11 @@
 	if errors.As(err, &noUpstreamErr) && noUpstreamErr.Known == 0 {
 		refused.RetryAt = now.Add(retryAfterStart)
 	}
+	var pausedErr *coltsbalance.PausedError
+	if errors.As(err, &pausedErr) {
+		refused.Reason = coltsattempt.ReasonOverloaded
+		refused.RetryAt = pausedErr.Until.Add(rand.N(retrySpread))
+	}
 	var blockedErr *coltspoison.BlockedError
 	if errors.As(err, &blockedErr) {
 		refused.Reason = coltsattempt.ReasonQuarantined
--- a/coltsgateway/control_watch.go
+++ b/coltsgateway/control_watch.go
@@ -164,6 +164,7 @@
 		Loads:            coltswire.EncodeLoads(w.g.balancer.Loads(), w.g.now()),
 		Suspects:         coltswire.EncodeSuspects(w.unreportedSuspects()),
 		Fetches:          coltswire.EncodeStoreChanges(w.g.stores.TakeFetches()),
+		Leaving:          coltswire.EncodeProcesses(w.g.balancer.Leaving()),
 		WaitNanos:        int64(longPollWait),
 	}
 	coltswire.AddPoisonReport(request, w.g.poison.TakeReport(w.g.now()), w.g.now())
--- a/coltsgateway/forward_capacity.go
+++ b/coltsgateway/forward_capacity.go
@@ -23,7 +23,7 @@
 	mustQueue := demand.Limit > 0 && f.g.queue.MustWait(f.lifecycle.Service, f.lifecycle.Priority(), now)
 	if !mustQueue {
 		choice, err := f.g.balancer.Choose(demand, now)
-		if !isFull(err) {
+		if !f.mayWait(err) {
 			return choice, err
 		}
 	}
@@ -43,24 +43,48 @@
 		if err := f.g.poison.Check(f.parts, now); err != nil {
 			return coltsbalance.Choice{}, err
 		}
+		wakeAt := time.Time{}
 		full := &coltsbalance.FullError{Service: f.lifecycle.Service, Waiting: f.g.queue.Len(f.lifecycle.Service)}
 		if f.g.queue.IsFirst(ticket, now) {
 			choice, err := f.g.balancer.Choose(f.demand(), now)
-			if !errors.As(err, &full) {
+			if !f.mayWait(err) {
 				return choice, err
 			}
+			errors.As(err, &full)
+			wakeAt = pauseEnd(err)
 		}
+		wake := f.wakeTimer(wakeAt)
 		select {
 		case <-ctx.Done():
 			return coltsbalance.Choice{}, ctx.Err()
 		case <-timer.C:
 			return coltsbalance.Choice{}, full
 		case <-freed:
+		case <-wake:
 		}
 	}
 }
 
-func isFull(err error) bool {
+// mayWait reports whether the request can wait after an error of the balancer: for room, or for the
+// end of a pause that comes early enough.
+func (f *forwarding) mayWait(err error) bool {
 	var full *coltsbalance.FullError
-	return errors.As(err, &full)
+	return errors.As(err, &full) || !pauseEnd(err).IsZero() && pauseEnd(err).Before(f.lifecycle.QueueDeadline())
+}
+
+// pauseEnd returns when the pause that err reports ends, the zero time if it reports none.
+func pauseEnd(err error) time.Time {
+	var paused *coltsbalance.PausedError
+	if errors.As(err, &paused) {
+		return paused.Until
+	}
+	return time.Time{}
+}
+
+// wakeTimer returns a channel that delivers at a time, nil for the zero time.
+func (f *forwarding) wakeTimer(at time.Time) <-chan time.Time {
+	if at.IsZero() {
+		return nil
+	}
+	return time.After(at.Sub(f.g.now()))
 }
--- a/coltsgateway/gateway_dialect.go
+++ b/coltsgateway/gateway_dialect.go
@@ -86,6 +86,10 @@
 	Upstream coltsidentity.Upstream
 	// ImpliesNotRun is set if the status would tell the caller that the request did not run.
 	ImpliesNotRun bool
+	// Leaving is set if the upstream says that it is leaving.
+	Leaving bool
+	// RetryAfter is how long the upstream wants no further request, 0 if it does not say.
+	RetryAfter time.Duration
 	// IdleTimeout is how long the upstream keeps the connection open while it is idle, 0 if not
 	// given.
 	IdleTimeout time.Duration
--- /dev/null
+++ b/coltsgateway/upstream_advice.go
@@ -0,0 +1,54 @@
+package coltsgateway
+
+// What an upstream says about further requests in its responses, also in those that are discarded.
+
+import (
+	"time"
+
+	"coltsfootstall/coltsattempt"
+	"coltsfootstall/coltsbalance"
+	"coltsfootstall/coltslog"
+	"coltsfootstall/coltsmetric"
+)
+
+// recordLeaving records that the upstream has said that it is leaving. A response that names another
+// upstream comes from that one.
+func (x *exchange) recordLeaving() {
+	id, startedAt := x.choice.Upstream.ID, x.choice.Upstream.StartedAt
+	if !x.meta.Leaving || x.meta.Upstream != "" && x.meta.Upstream != id {
+		return
+	}
+	if x.g.balancer.RecordLeaving(id, startedAt) {
+		x.g.metrics.Add(coltsmetric.UpstreamsLeft, 1)
+		x.g.log.Info("An upstream says that it is leaving.", coltslog.Fields{
+			"upstream": id, "started": startedAt, "status": x.resp.StatusCode(),
+		})
+	}
+}
+
+// recordPause records the pause that the upstream has asked for with the response to this request. A
+// late copy of another response says nothing about the present.
+func (x *exchange) recordPause() {
+	if x.meta.RetryAfter == 0 {
+		return
+	}
+	now := x.g.now()
+	until := now.Add(x.meta.RetryAfter)
+	if x.g.balancer.RecordPause(x.choice.Upstream.ID, x.choice.Upstream.StartedAt, until, now) {
+		x.g.metrics.Add(coltsmetric.Pauses, 1)
+		x.g.log.Info("An upstream asked for a pause.", coltslog.Fields{
+			"upstream": x.choice.Upstream.ID, "until": until.Format(time.RFC3339Nano),
+			"retry-after-ms": x.meta.RetryAfter.Milliseconds(), "not-run": x.meta.NotRun,
+		})
+	}
+}
+
+// checkWithdrawn returns a failure if the upstream has asked for a pause, or said that it is leaving, since
+// it was chosen.
+func (g *Gateway) checkWithdrawn(choice coltsbalance.Choice) *attemptError {
+	if !g.balancer.IsWithdrawn(choice, g.now()) {
+		return nil
+	}
+	return newAttemptError(coltsattempt.PhaseUnsent, coltsbalance.OutcomeNeutral,
+		"upstream %s is leaving or has asked for a pause meanwhile", choice.Upstream.ID)
+}
--- a/coltsgateway/upstream_exchange.go
+++ b/coltsgateway/upstream_exchange.go
@@ -97,6 +97,10 @@
 		return nil, newAttemptError(coltsattempt.PhaseUnsent, outcome,
 			"upstream %s at %s can't be reached: %v", choice.Upstream.ID, addr, err)
 	}
+	if failure := g.checkWithdrawn(choice); failure != nil {
+		g.pool.Put(conn)
+		return nil, failure
+	}
 	x := &exchange{g: g, ctx: ctx, choice: choice, conn: conn, resp: &fasthttp.ResponseHeader{}}
 	x.stop = context.AfterFunc(ctx, func() { g.pool.Drop(conn) })
 	failure := x.send(out)
@@ -197,6 +201,8 @@
 		if err := x.resp.Read(x.conn.Reader); err != nil {
 			return x.readFailure(coltsattempt.PhaseSent, err)
 		}
+		x.meta = x.g.dialect.ParseResponse(x.resp)
+		x.recordLeaving()
 		if x.resp.StatusCode() >= fasthttp.StatusOK {
 			break
 		}
@@ -211,7 +217,6 @@
 		framing = 0
 	}
 	x.body = newBody(x.conn.Reader, framing)
-	x.meta = x.g.dialect.ParseResponse(x.resp)
 	return nil
 }
 
@@ -236,6 +241,7 @@
 func (x *exchange) checkHead() *attemptError {
 	id := x.choice.Upstream.ID
 	status := x.resp.StatusCode()
+	x.recordPause()
 	switch {
 	case x.meta.Misdirected:
 		f := newAttemptError(coltsattempt.PhaseRefused, coltsbalance.OutcomeFailed,
@@ -243,7 +249,12 @@
 		f.misdirected = true
 		return f
 	case x.meta.NotRun:
-		return newAttemptError(coltsattempt.PhaseRefused, coltsbalance.OutcomeFull,
+		outcome := coltsbalance.OutcomeFull
+		if x.meta.RetryAfter > 0 {
+			// A pause takes the place of the backoff.
+			outcome = coltsbalance.OutcomeAnswered
+		}
+		return newAttemptError(coltsattempt.PhaseRefused, outcome,
 			"upstream %s refused the request with status %d and did not run it", id, status)
 	case status < 300 && !x.meta.Sealed:
 		return newAttemptError(coltsattempt.PhaseSent, coltsbalance.OutcomeFailed,
--- a/coltsmetric/metric_table.go
+++ b/coltsmetric/metric_table.go
@@ -55,6 +55,8 @@
 	Panics                 = Metric{"unexpected-errors", "errors", "requests and loops ended by a panic; the log has the stacks"}
 	BuffersExhausted       = Metric{"buffers-exhausted", "messages", "messages given up because the memory for buffers was used up"}
 	PartsBlocked           = Metric{"parts-blocked", "parts", "parts of prompts that crash upstreams; prompts with them are refused"}
+	UpstreamsLeft          = Metric{"upstreams-left", "upstreams", "processes of upstreams that said in a response that they are leaving"}
+	Pauses                 = Metric{"pauses", "pauses", "pauses that upstreams asked for"}
 	LogLinesDropped        = Metric{"log-lines-dropped", "lines", "log lines dropped because their reader was too slow"}
 	Commands               = Metric{"commands", "commands", "commands applied"}
 	JournalSyncs           = Metric{"journal-syncs", "syncs", "syncs of the journal"}
@@ -66,7 +68,8 @@
 	Requests, Refused, RequestsUnderWay, CallerDisconnects, Attempts, Retries, Resumes, WrongRequestIDs, SilentConnections,
 	StreamedParts, TokensComputed, TokensReused, FirstTokenMicros, FirstTokens, Lookups, Exports, ExportsFailed,
 	Announcements, UntrustedAnnouncements, Upstreams, CacheEvents, Grants, Replays, SettleRetries, Revision, LastContactMillis,
-	RoutesVersion, WatchFailures, RefusedNotRun, FailedUnknown, StreamsBroken, RequestsAtHome, Panics, BuffersExhausted, PartsBlocked, LogLinesDropped,
+	RoutesVersion, WatchFailures, RefusedNotRun, FailedUnknown, StreamsBroken, RequestsAtHome, Panics, BuffersExhausted, PartsBlocked, UpstreamsLeft, Pauses,
+	LogLinesDropped,
 	UsageBatches, Commands, JournalSyncs, Snapshots,
 }
 
--- a/coltsregistry/registry.go
+++ b/coltsregistry/registry.go
@@ -100,6 +100,7 @@
 			return false, err
 		}
 		u.Weights = u.mergeWeights(rec.entry.Upstream)
+		u.State = u.mergeState(rec.entry.Upstream)
 	}
 	changed := !known || rec.entry.changedBy(u)
 	if known && !rec.entry.Upstream.StartedAt.Equal(u.StartedAt) {
@@ -161,6 +162,16 @@
 	return r.advanceState(id, StateGone, now)
 }
 
+// RecordLeaving records that a process has told its callers that it is leaving, and reports whether this
+// changed its entry.
+func (r *Registry) RecordLeaving(p Process) bool {
+	return r.updateEntry(p.ID, p.StartedAt, func(e *Entry) bool {
+		changed := e.Upstream.State == StateReady
+		e.Upstream.State = max(e.Upstream.State, StateDraining)
+		return changed
+	})
+}
+
 // advanceState moves an entry to a later state and reports whether it changed. It never
 // moves an entry back.
 func (r *Registry) advanceState(id coltsidentity.Upstream, state State, now time.Time) bool {
--- a/coltsregistry/registry_test.go
+++ b/coltsregistry/registry_test.go
@@ -81,6 +81,16 @@
 		assertStale(t, r, report("a", 0, 2, StateReady))
 		assertAccepted(t, r, report("a", 5, 1, StateReady), true)
 	})
+	t.Run("a process that told its callers that it is leaving stays draining", func(t *testing.T) {
+		r := newRegistry()
+		assertAccepted(t, r, report("a", 1, 1, StateReady), true)
+		assert.Assert(t, r.RecordLeaving(Process{ID: "a", StartedAt: start.Add(time.Second)}))
+		assert.Assert(t, !r.RecordLeaving(Process{ID: "a", StartedAt: start}))
+		assertAccepted(t, r, report("a", 1, 2, StateReady), false)
+		assertState(t, r, "a", StateDraining)
+		assertAccepted(t, r, report("a", 2, 1, StateReady), true)
+		assertState(t, r, "a", StateReady)
+	})
 	t.Run("a leave from an earlier process is ignored", func(t *testing.T) {
 		r := newRegistry()
 		assertAccepted(t, r, report("a", 5, 1, StateReady), true)
--- a/coltsregistry/registry_upstream.go
+++ b/coltsregistry/registry_upstream.go
@@ -12,6 +12,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -95,8 +96,8 @@
 		reason = "its ID is empty, too long or no text"
 	case u.Addr.Port() == 0 || u.Addr.Addr().IsUnspecified() || u.Addr.Addr().IsMulticast() || u.Addr.Addr().Zone() != "":
 		reason = "no upstream can be reached at " + u.Addr.String()
-	case u.Slots < 0:
-		reason = "it has a negative number of slots"
+	case u.Slots < 0 || u.Slots > math.MaxInt32:
+		reason = "its number of slots is negative or too large"
 	case u.Sequence > maxNumber:
 		reason = "its sequence is too large"
 	case u.StartedAt.After(now.Add(maxClockLead)):
@@ -127,6 +128,21 @@
 	return weights
 }
 
+// mergeState returns the state of the report. A process whose start is known never goes back to an earlier
+// state: the report may have been written before it told its callers that it is leaving.
+func (u Upstream) mergeState(known Upstream) State {
+	if u.StartedAt.IsZero() || !u.StartedAt.Equal(known.StartedAt) {
+		return u.State
+	}
+	return max(u.State, known.State)
+}
+
+// Process identifies one process of an upstream.
+type Process struct {
+	ID        coltsidentity.Upstream
+	StartedAt time.Time
+}
+
 // Entry is what the registry knows about an upstream.
 type Entry struct {
 	Upstream Upstream
--- a/coltsrequest/call_lifecycle.go
+++ b/coltsrequest/call_lifecycle.go
@@ -291,6 +291,7 @@
 // refused doesn't count as a failure of the upstream.
 func (l *CallLifecycle) endAttempt(f coltsattempt.Failure, now time.Time) {
 	if f.Phase == coltsattempt.PhaseRefused {
+		l.cfg.Fleet.RecordPause(l.upstream, f.RetryAt, now)
 		l.cfg.Fleet.RecordAbandoned(l.upstream)
 		return
 	}
--- a/coltsrequest/lifecycle_failure.go
+++ b/coltsrequest/lifecycle_failure.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"coltsfootstall/coltsattempt"
+	"coltsfootstall/coltsfleet"
 	"coltsfootstall/coltsrouting"
 )
 
@@ -66,7 +67,24 @@
 		Reason:  coltsattempt.ReasonNoUpstream,
 		Detail:  "no upstream can take version " + string(l.prompt.Version) + " of " + string(l.prompt.Model),
 	}
-	return refusal.WithRetryAt(now.Add(busyRetryAfter))
+	retryAt := now.Add(busyRetryAfter)
+	if pausedUntil := l.pausedUntil(now); pausedUntil.After(retryAt) {
+		retryAt = pausedUntil
+	}
+	return refusal.WithRetryAt(retryAt)
+}
+
+// pausedUntil returns when the first of the runners that have asked for a pause may get requests again; the
+// zero time if none has.
+func (l *Lifecycle) pausedUntil(now time.Time) time.Time {
+	var first time.Time
+	modelVersion := coltsfleet.ModelVersion{Model: l.prompt.Model, Version: l.prompt.Version}
+	for _, c := range l.cfg.Fleet.Runners(modelVersion, l.cfg.Document(), now) {
+		if !c.PausedUntil.IsZero() && (first.IsZero() || c.PausedUntil.Before(first)) {
+			first = c.PausedUntil
+		}
+	}
+	return first
 }
 
 // Failed handles an attempt that ended before the whole answer was received. The
@@ -102,6 +120,7 @@
 		l.endRestore(0, 0)
 	}
 	if f.Phase == coltsattempt.PhaseRefused {
+		l.cfg.Fleet.RecordPause(l.upstream(), f.RetryAt, now)
 		l.cfg.Fleet.RecordAbandoned(l.upstream())
 		return
 	}
--- a/coltsrequest/request_lifecycle_test.go
+++ b/coltsrequest/request_lifecycle_test.go
@@ -193,6 +193,20 @@
 		assertSettled(t, f)
 	})
 
+	t.Run("upstreams that asked for a pause get nothing until it ends, and callers are told when", func(t *testing.T) {
+		f := newFixture(t)
+		pauseEnd := start.Add(5 * time.Second)
+		paused := coltsattempt.Failure{Phase: coltsattempt.PhaseRefused, RetryAt: pauseEnd}
+		lifecycle, _ := f.coordinator.Begin(prompt(0), start)
+		assertDispatch(t, lifecycle.Failed(paused, start), 2)
+		lifecycle.Failed(paused, start)
+		_, action := f.coordinator.Begin(prompt(0), start.Add(time.Second))
+		assertRefused(t, action, coltsattempt.OutcomeNotRun, coltsattempt.ReasonNoUpstream)
+		assert.Equal(t, action.Refusal.RetryAt, pauseEnd)
+		_, action = f.coordinator.Begin(prompt(0), pauseEnd)
+		assertDispatch(t, action, 1)
+	})
+
 	t.Run("a request that may have run is refused with outcome unknown", func(t *testing.T) {
 		f := newFixture(t)
 		lifecycle, _ := f.coordinator.Begin(prompt(0), start)
--- a/coltsupstream/upstream_client.go
+++ b/coltsupstream/upstream_client.go
@@ -14,7 +14,6 @@
 	"net"
 	"net/netip"
 	"os"
-	"strconv"
 	"strings"
 	"time"
 
@@ -253,9 +252,8 @@
 		"upstream %s refused the request with status %d", x.req.Addr, x.resp.StatusCode())
 	f.Permanent = x.resp.StatusCode() < fasthttp.StatusInternalServerError &&
 		x.resp.StatusCode() != fasthttp.StatusTooManyRequests
-	seconds, err := strconv.Atoi(string(x.resp.Header.Peek(fasthttp.HeaderRetryAfter)))
-	if err == nil {
-		f.RetryAt = x.client.cfg.Now().Add(time.Duration(seconds) * time.Second)
+	if pause := coltscodec.ParseRetryAfter(string(x.resp.Header.Peek(fasthttp.HeaderRetryAfter))); pause > 0 {
+		f.RetryAt = x.client.cfg.Now().Add(pause)
 	}
 	return f
 }
--- a/coltswire/wire_registry.go
+++ b/coltswire/wire_registry.go
@@ -43,6 +43,20 @@
 	}
 }
 
+// EncodeProcesses returns the protobuf messages for processes of upstreams.
+func EncodeProcesses(processes []coltsregistry.Process) []*coltspb.UpstreamProcess {
+	return convert(processes, func(p coltsregistry.Process) *coltspb.UpstreamProcess {
+		return &coltspb.UpstreamProcess{Upstream: string(p.ID), Born: EncodeTime(p.StartedAt)}
+	})
+}
+
+// DecodeProcesses returns the processes of upstreams held in protobuf messages.
+func DecodeProcesses(messages []*coltspb.UpstreamProcess) []coltsregistry.Process {
+	return convert(messages, func(m *coltspb.UpstreamProcess) coltsregistry.Process {
+		return coltsregistry.Process{ID: coltsidentity.Upstream(m.GetUpstream()), StartedAt: DecodeTime(m.GetBorn())}
+	})
+}
+
 // EncodeReportedUpstream returns the protobuf message for an upstream's report about
 // itself.
 func EncodeReportedUpstream(u coltsregistry.Upstream) *coltspb.ReportedUpstream {
