Don't take an upstream's error as a sign that a part of the prompt is sound

A part that crashes runners would have been blocked late, or its block lifted, when another request with it got an error from a runner, for instance because its time was over in the queue.

Cause: each buffered response counted as an answer to its parts, whatever its status. Change: only statuses below 300 do.

--- a/coltsgateway/forward_buffered.go
+++ b/coltsgateway/forward_buffered.go
@@ -36,7 +36,9 @@
 			"upstream %s answered status %d", f.choice.Upstream.ID, status)
 	}
 	f.status = status
-	f.g.poison.RecordAnswer(f.parts, f.g.now())
+	if status < fasthttp.StatusMultipleChoices {
+		f.g.poison.RecordAnswer(f.parts, f.g.now())
+	}
 	f.completed = f.write(text)
 	return nil
 }
