Report crashes again after a control instance that does not lead was asked

What a gateway reports to an instance that does not lead is lost; if that instance led again before the gateway had asked another one, the crashes of the last seconds were not counted. Found by reading; no test shows it, because it needs two elections between two polls.

--- a/coltsgateway/control_reply.go
+++ b/coltsgateway/control_reply.go
@@ -49,6 +49,9 @@
 		w.g.capacityFreed.Broadcast()
 		w.mergeSuspects(reply, now)
 		w.applyPoison(reply, now)
+	} else {
+		// This instance keeps no reports, also if it leads again later.
+		w.g.poison.Forget()
 	}
 }
 
