Check where a stream is resumed only on routes that allow it

On other routes an upstream may ignore the caller's Last-Event-Id, and its stream from the start was taken as a failure. Found by reading the diff; TestStreamEnds and TestErrorAfterBrokenStream pass.

--- a/coltsgateway/forward_stream.go
+++ b/coltsgateway/forward_stream.go
@@ -157,7 +157,7 @@
 // checkResumed returns an error if the first events of an attempt that resumes a stream are not behind
 // those that the caller has. Only IDs that are numbers can be compared.
 func (f *forwarding) checkResumed(events []byte) error {
-	if f.lastEventID == "" || f.eventReads > 0 {
+	if f.lastEventID == "" || f.eventReads > 0 || !f.lifecycle.Route.Resumable {
 		return nil
 	}
 	last, lastErr := strconv.ParseUint(f.lastEventID, 10, 64)
