--- a/coltspoison/poison_test.go
+++ b/coltspoison/poison_test.go
@@ -76,6 +76,20 @@
 	}
 }
 
+// crashRepeatedly records n crashes on prompts with the parts, period apart, and then passes time until the
+// register has decided. Prompts with the sound parts are answered all the time.
+func (f *fleet) crashRepeatedly(n int, period time.Duration, sound []string, ids ...string) {
+	answerSound := func() { f.answer(sound...) }
+	for range n {
+		f.crash(ids...)
+		f.pass(period, answerSound)
+	}
+	f.pass(time.Second, answerSound)
+}
+
+// fine are the parts of sound prompts that have nothing in common with others.
+var fine = []string{"fine"}
+
 func assertBlocked(t *testing.T, f *fleet, id string, want bool) {
 	t.Helper()
 	for i, o := range f.observers {
@@ -88,11 +102,7 @@
 	nothing := func() {}
 	t.Run("the part that is never answered is blocked, those that come with it are not", func(t *testing.T) {
 		f := newFleet(6)
-		for range 4 {
-			f.crash("first", "session", "dead")
-			f.pass(400*time.Millisecond, func() { f.answer("first", "fine") })
-		}
-		f.pass(time.Second, func() { f.answer("first", "fine") })
+		f.crashRepeatedly(4, 400*time.Millisecond, []string{"first", "fine"}, "first", "session", "dead")
 		assertBlocked(t, f, "dead", true)
 		assertBlocked(t, f, "session", false)
 		assertBlocked(t, f, "first", false)
@@ -109,11 +119,7 @@
 	t.Run("a part that was answered before it began to crash upstreams is blocked too", func(t *testing.T) {
 		f := newFleet(3)
 		f.pass(time.Second, func() { f.answer("first", "dead") })
-		for range 4 {
-			f.crash("first", "dead")
-			f.pass(400*time.Millisecond, func() { f.answer("first") })
-		}
-		f.pass(time.Second, func() { f.answer("first") })
+		f.crashRepeatedly(4, 400*time.Millisecond, []string{"first"}, "first", "dead")
 		assertBlocked(t, f, "dead", true)
 		assertBlocked(t, f, "first", false)
 	})
@@ -149,11 +155,7 @@
 	})
 	t.Run("a block ends, and one more crash renews it", func(t *testing.T) {
 		f := newFleet(1)
-		for range 3 {
-			f.crash("dead")
-			f.pass(300*time.Millisecond, func() { f.answer("fine") })
-		}
-		f.pass(time.Second, func() { f.answer("fine") })
+		f.crashRepeatedly(3, 300*time.Millisecond, fine, "dead")
 		assertBlocked(t, f, "dead", true)
 		f.pass(blockPeriod, nothing)
 		assertBlocked(t, f, "dead", false)
@@ -193,11 +195,7 @@
 	})
 	t.Run("an answer lifts a block", func(t *testing.T) {
 		f := newFleet(2)
-		for range 3 {
-			f.crash("slow")
-			f.pass(300*time.Millisecond, func() { f.answer("other") })
-		}
-		f.pass(time.Second, func() { f.answer("other") })
+		f.crashRepeatedly(3, 300*time.Millisecond, fine, "slow")
 		assertBlocked(t, f, "slow", true)
 		f.answer("slow")
 		f.pass(time.Second, func() { f.answer("other") })
@@ -221,11 +219,7 @@
 	})
 	t.Run("it keeps the blocks that are in force", func(t *testing.T) {
 		f := newFleet(3)
-		for range 3 {
-			f.crash("dead")
-			f.pass(300*time.Millisecond, func() { f.answer("fine") })
-		}
-		f.pass(time.Second, func() { f.answer("fine") })
+		f.crashRepeatedly(3, 300*time.Millisecond, fine, "dead")
 		f.register = NewRegister()
 		f.pass(time.Minute, func() { f.answer("fine") })
 		assertBlocked(t, f, "dead", true)
