--- a/coltsadvice/advice_test.go
+++ b/coltsadvice/advice_test.go
@@ -1,5 +1,7 @@
 package coltsadvice
 
+// Schedules of pauses, their ends and restarts, without a network.
+
 import (
 	"testing"
 	"time"
--- a/coltscodec/retry_after.go
+++ b/coltscodec/retry_after.go
@@ -1,5 +1,8 @@
 package coltscodec
 
+// Upstreams may send any text as Retry-After. What can't be a time must neither become a pause nor a time in
+// the past.
+
 import (
 	"math"
 	"strconv"
--- a/coltscontrol/registry_loop.go
+++ b/coltscontrol/registry_loop.go
@@ -74,14 +74,14 @@
 // sweepPoison decides again which parts of prompts are blocked.
 func (c *Control) sweepPoison() {
 	now := c.cfg.Now()
-	for _, conviction := range c.poison.Sweep(now) {
+	for _, decision := range c.poison.Sweep(now) {
 		fields := coltslog.Fields{
-			"model": conviction.Part.Model, "part": conviction.Part.ID, "until": conviction.Until,
-			"upstreams": conviction.Crashed, "first-crash-ago-ms": now.Sub(conviction.FirstCrashAt).Milliseconds(),
-			"others-answered-ago-ms": now.Sub(conviction.OthersAnsweredAt).Milliseconds(),
+			"model": decision.Part.Model, "part": decision.Part.ID, "until": decision.Until,
+			"upstreams": decision.Crashed, "first-crash-ago-ms": now.Sub(decision.FirstCrashAt).Milliseconds(),
+			"others-answered-ago-ms": now.Sub(decision.OthersAnsweredAt).Milliseconds(),
 		}
-		if !conviction.AnsweredAt.IsZero() {
-			fields["answered-ago-ms"] = now.Sub(conviction.AnsweredAt).Milliseconds()
+		if !decision.AnsweredAt.IsZero() {
+			fields["answered-ago-ms"] = now.Sub(decision.AnsweredAt).Milliseconds()
 		}
 		c.log.Warn("A part of prompts crashes upstreams; prompts with it are refused.", fields)
 	}
--- a/coltspoison/poison_observer.go
+++ b/coltspoison/poison_observer.go
@@ -1,5 +1,8 @@
 package coltspoison
 
+// An observer remembers recent answers for all parts, though only those of watched parts are reported:
+// a part becomes watched after its first crashes, and answers from before then count as well.
+
 import (
 	"sync"
 	"time"
--- a/coltspoison/poison_register.go
+++ b/coltspoison/poison_register.go
@@ -1,5 +1,9 @@
 package coltspoison
 
+// Crashes of several upstreams at once, or of upstreams that fail whatever they run, must block nothing, since
+// a blocked part that many prompts share costs more than the crashes. So a part is blocked only if it stands
+// out: prompts without it are answered, and no part with more recent answers explains the same crashes.
+
 import (
 	"cmp"
 	"slices"
@@ -12,17 +16,17 @@
 )
 
 const (
-	// watchFrom is the number of crashes from which a part's answers are asked for, and blockFrom
+	// watchThreshold is the number of crashes from which a part's answers are asked for, and blockThreshold
 	// the number from which it may be blocked.
-	watchFrom = 2
-	blockFrom = 3
+	watchThreshold = 2
+	blockThreshold = 3
 	// sameCause is the time within which crashes of several upstreams count as one: a loss of power
 	// takes many upstreams at once.
 	sameCause = 100 * time.Millisecond
-	// hearing is how long a part must have been watched without an answer before it is blocked, and for
+	// evidencePeriod is how long a part must have been watched without an answer before it is blocked, and for
 	// how long after its first crash other prompts to the model must have been answered. Reports take
 	// about two poll intervals, and popular parts are answered several times in this time.
-	hearing = 500 * time.Millisecond
+	evidencePeriod = 500 * time.Millisecond
 	// blockPeriod is how long a part is blocked. Another crash after that blocks it again.
 	blockPeriod = 10 * time.Minute
 	// recordMemory is how long a part is remembered after its last crash or block.
@@ -207,8 +211,8 @@
 	record
 }
 
-// Conviction is a new block with the evidence for it.
-type Conviction struct {
+// BlockDecision is a new block with the evidence for it.
+type BlockDecision struct {
 	Block
 	// Crashed are the processes that crashed since the part was last answered.
 	Crashed []coltsidentity.Upstream
@@ -221,7 +225,7 @@
 }
 
 // Sweep decides again which parts are watched and blocked. It returns the blocks that are new.
-func (r *Register) Sweep(now time.Time) []Conviction {
+func (r *Register) Sweep(now time.Time) []BlockDecision {
 	r.verdictMu.Lock()
 	defer r.verdictMu.Unlock()
 	records := r.snapshot(now)
@@ -241,31 +245,31 @@
 		}
 	}
 	slices.SortFunc(candidates, compareCandidates)
-	var convictions []Conviction
+	var decisions []BlockDecision
 	for _, c := range candidates {
 		others := records[c.allOf()]
-		if len(verdict.Blocks) >= maxTold || !c.isConvicted(others.answeredAt, explained, now) {
+		if len(verdict.Blocks) >= maxTold || !c.shouldBlock(others.answeredAt, explained, now) {
 			continue
 		}
 		b := Block{Part: c.Part, Until: now.Add(blockPeriod)}
 		r.update(c.Part, b.Until, true, func(rec *record) { rec.blockedUntil = b.Until })
 		explain(explained, c.crashes)
-		convictions = append(convictions, c.convict(b, others.answeredAt))
+		decisions = append(decisions, c.decide(b, others.answeredAt))
 		verdict.Blocks = append(verdict.Blocks, b)
 	}
 	r.verdict.Store(verdict)
-	return convictions
+	return decisions
 }
 
-// convict returns the block of a part with the evidence.
-func (c candidate) convict(b Block, othersAnsweredAt time.Time) Conviction {
-	conviction := Conviction{
+// decide returns the block of a part with the evidence.
+func (c candidate) decide(b Block, othersAnsweredAt time.Time) BlockDecision {
+	decision := BlockDecision{
 		Block: b, FirstCrashAt: c.crashes[0].at, AnsweredAt: c.answeredAt, OthersAnsweredAt: othersAnsweredAt,
 	}
 	for _, crash := range c.crashes {
-		conviction.Crashed = append(conviction.Crashed, crash.upstream)
+		decision.Crashed = append(decision.Crashed, crash.upstream)
 	}
-	return conviction
+	return decision
 }
 
 func explain(explained map[coltsidentity.Upstream]bool, crashes []recordedCrash) {
@@ -286,14 +290,14 @@
 	)
 }
 
-// isConvicted reports whether a part is to be blocked. othersAnsweredAt is when any prompt to the model
+// shouldBlock reports whether a part is to be blocked. othersAnsweredAt is when any prompt to the model
 // was last answered: while none is, nothing tells the part from others.
-func (c candidate) isConvicted(othersAnsweredAt time.Time, explained map[coltsidentity.Upstream]bool, now time.Time) bool {
-	if len(c.crashes) == 0 || c.incidents(explained) < blockFrom || now.Sub(c.watchedSince) < hearing {
+func (c candidate) shouldBlock(othersAnsweredAt time.Time, explained map[coltsidentity.Upstream]bool, now time.Time) bool {
+	if len(c.crashes) == 0 || c.incidents(explained) < blockThreshold || now.Sub(c.watchedSince) < evidencePeriod {
 		return false
 	}
 	first, last := c.crashes[0].at, c.crashes[len(c.crashes)-1].at
-	return othersAnsweredAt.Sub(first) >= hearing && last.After(c.blockedUntil)
+	return othersAnsweredAt.Sub(first) >= evidencePeriod && last.After(c.blockedUntil)
 }
 
 // snapshot removes expired records, updates which parts are watched, and returns copies of the
@@ -310,7 +314,7 @@
 				continue
 			}
 			switch {
-			case p.ID != "" && (rec.incidents(nil) < watchFrom || now.Before(rec.blockedUntil)):
+			case p.ID != "" && (rec.incidents(nil) < watchThreshold || now.Before(rec.blockedUntil)):
 				rec.watchedSince = time.Time{}
 			case rec.watchedSince.IsZero() && watching < maxTold:
 				rec.watchedSince = now
--- a/coltspoison/poison_test.go
+++ b/coltspoison/poison_test.go
@@ -1,5 +1,8 @@
 package coltspoison
 
+// Schedules of crashes and answers in simulated time: several observers exchange reports and verdicts with one
+// register, as gateways do with control's leader.
+
 import (
 	"errors"
 	"fmt"
