Pass on an untyped message on a streaming route that is no stream

A caller got no answer on a streaming route if the upstream answered with a message that had a length but no type: since a body that does not end with an event counted as broken off.

Cause: a response without a type was taken as a stream of events. Change: it is one if it says so, has had events, or ends with its connection.

--- a/coltsgateway/forward_stream.go
+++ b/coltsgateway/forward_stream.go
@@ -51,6 +51,13 @@
 	return len(mediaType) == 0 || bytes.EqualFold(mediaType, []byte("text/event-stream"))
 }
 
+// isEvents reports whether the response is known to be a stream of events: it says so, has had events, or
+// ends with its connection as a stream may. A message without a type that has a length or chunks need
+// not be one.
+func (s *eventStream) isEvents() bool {
+	return len(s.x.resp.ContentType()) > 0 || s.f.eventReads > 0 || s.x.body.framing == framingUntilClose
+}
+
 // errCallerDisconnected reports that the caller closed its connection.
 var errCallerDisconnected = errors.New("the caller disconnected")
 
@@ -79,7 +86,7 @@
 	s.buffer = s.buffer[:len(s.buffer)+n]
 	end := endOfEvents(s.buffer)
 	ended := errors.Is(err, io.EOF)
-	if ended && len(bytes.TrimSpace(s.buffer[end:])) > 0 {
+	if ended && s.isEvents() && len(bytes.TrimSpace(s.buffer[end:])) > 0 {
 		// Whatever the framing says, the rest of this event is missing.
 		ended, err = false, io.ErrUnexpectedEOF
 	}
