Show that a planned stop cuts requests that a gateway takes late in its grace period

Disruption: one SIGTERM to one gateway of two (roll_term), with the grace period of the site. Seen: requests that consumers sent on kept channels 3 to 5 s after the SIGTERM, behind streams that began before it, are passed on to a runner and cut off in the middle of the answer when the process ends.

--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -24,7 +24,8 @@
 type scenario func(binary string, record *reviewkit.Record, trouble bool) (string, error)
 
 var scenarios = map[string]scenario{
-	"restart-all": restartAll,
+	"planned-stop": plannedStop,
+	"restart-all":  restartAll,
 }
 
 func main() { os.Exit(run()) }
