Show that a gateway runs out of descriptors as runners are replaced

Rule: RECOVER, a machine that says it is ready takes no new channel for contactMs. Disruption: releases of a service of eight runners, one runner a second for 80 s, with 4,100 descriptors. Seen: about 48 descriptors stay open for each runner that has left. At 4,100 the gateway accepts no channel any more, answers 503 on kept ones, and still says that it is ready.

--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -26,6 +26,7 @@
 var scenarios = map[string]scenario{
 	"planned-stop": plannedStop,
 	"restart-all":  restartAll,
+	"releases":     releases,
 }
 
 func main() { os.Exit(run()) }
