Show that a planned replacement leaves the group unable to lose two machines

Rule: LOST, what was acknowledged (config) is gone. Disruption: a control machine is replaced by plan, its successor first, and two others lose their disks, which is what may be lost at once, a second after the replaced one has exited. Seen: two of five voters are left, no leader is elected again, and no machine returns the config.

--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -24,9 +24,11 @@
 type scenario func(binary string, record *reviewkit.Record, trouble bool) (string, error)
 
 var scenarios = map[string]scenario{
-	"planned-stop": plannedStop,
-	"restart-all":  restartAll,
-	"releases":     releases,
+	"planned-stop":     plannedStop,
+	"restart-all":      restartAll,
+	"releases":         releases,
+	"replaced-machine": replacedMachine,
+	"stale-directory":  staleDirectory,
 }
 
 func main() { os.Exit(run()) }
--- a/review/reviewkit/cluster.go
+++ b/review/reviewkit/cluster.go
@@ -35,9 +35,13 @@
 	Role     string
 	IP       string
 	settings string
-	log      *os.File
-	cmd      *exec.Cmd
-	exited   chan struct{}
+	// disk is the number of the disk that the machine has; each is a folder of its own.
+	disk int
+	// bootstrap is set while the machine starts together with the whole system for the first time.
+	bootstrap bool
+	log    *os.File
+	cmd    *exec.Cmd
+	exited chan struct{}
 }
 
 // Cluster is a small deployment.
@@ -46,10 +50,12 @@
 	Controls []*Machine
 	Gateways []*Machine
 
-	dir    string
-	binary string
-	port   int
-	prefix string
+	dir       string
+	binary    string
+	port      int
+	prefix    string
+	seeds     string
+	tolerated int
 }
 
 // Config configures a cluster.
@@ -81,21 +87,19 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Cluster{Record: cfg.Record, dir: dir, binary: cfg.Binary}
+	c := &Cluster{Record: cfg.Record, dir: dir, binary: cfg.Binary, tolerated: cfg.Tolerated}
 	c.prefix = fmt.Sprintf("127.%d.%d", 16+rand.IntN(200), 1+rand.IntN(250))
 	if c.port, err = freePorts(c.prefix + ".1"); err != nil {
 		return c, err
 	}
 	for i := range cfg.Controls {
-		c.Controls = append(c.Controls, &Machine{Name: fmt.Sprintf("core-%d", i+1), Role: "control", IP: c.Addr(11 + i)})
+		c.Controls = append(c.Controls, &Machine{Name: fmt.Sprintf("core-%d", i+1), Role: "control", IP: c.Addr(11 + i), bootstrap: true})
 	}
 	for i := range cfg.Gateways {
 		c.Gateways = append(c.Gateways, &Machine{Name: fmt.Sprintf("front-%d", i+1), Role: "gateway", IP: c.Addr(51 + i)})
 	}
-	for _, m := range append(append([]*Machine{}, c.Controls...), c.Gateways...) {
-		if err := c.writeSettings(m, cfg.Tolerated); err != nil {
-			return c, err
-		}
+	c.seeds = c.seedList()
+	for _, m := range c.Processes() {
 		if err := c.StartProcess(m); err != nil {
 			return c, err
 		}
@@ -103,6 +107,20 @@
 	return c, nil
 }
 
+// AddControl starts a further control machine, which was not there when the system started.
+func (c *Cluster) AddControl() (*Machine, error) {
+	n := len(c.Controls)
+	m := &Machine{Name: fmt.Sprintf("core-%d", n+1), Role: "control", IP: c.Addr(11 + n)}
+	c.Controls = append(c.Controls, m)
+	return m, c.StartProcess(m)
+}
+
+// RestartEmpty starts the process of a machine that has ended, at its old address with an empty disk.
+func (c *Cluster) RestartEmpty(m *Machine) error {
+	m.disk++
+	return c.StartProcess(m)
+}
+
 // Addr returns the address of host n of the cluster's network.
 func (c *Cluster) Addr(n int) string { return fmt.Sprintf("%s.%d", c.prefix, n) }
 
@@ -132,7 +150,8 @@
 	return 0, errors.New("no free ports")
 }
 
-func (c *Cluster) seeds() string {
+// seedList returns the seeds that all machines are told at the first start.
+func (c *Cluster) seedList() string {
 	var seeds []string
 	for _, m := range c.Controls[:min(3, len(c.Controls))] {
 		seeds = append(seeds, fmt.Sprintf("%q", c.service(m)))
@@ -146,21 +165,21 @@
 func (c *Cluster) Front(m *Machine) string { return fmt.Sprintf("%s:%d", m.IP, c.port+portFront) }
 
 // writeSettings writes what the templates of the deploy file give for a machine.
-func (c *Cluster) writeSettings(m *Machine, tolerated int) error {
+func (c *Cluster) writeSettings(m *Machine) error {
 	var text string
 	if m.Role == "control" {
 		text = fmt.Sprintf(`{"instance": %q, "data-centre": "laventille", "log-json": true, "control": {
   "address": "%s:%d", "operator-address": "%s:%d", "service-address": "%s:%d", "data-folder": %q,
-  "seeds": [%s], "founds": true, "tolerated-losses": %d, "order-wait": "3000ms", "silent-after": "5s",
+  "seeds": [%s], "founds": %t, "tolerated-losses": %d, "order-wait": "3000ms", "silent-after": "5s",
   "segment-bytes": 4194304, "snapshot-every": 200}}`,
 			m.Name, m.IP, c.port+portPeers, m.IP, c.port+portOperator, m.IP, c.port+portService,
-			filepath.Join(c.dir, m.Name+".data"), c.seeds(), tolerated)
+			filepath.Join(c.dir, fmt.Sprintf("%s.data-%d", m.Name, m.disk)), c.seeds, m.bootstrap, c.tolerated)
 	} else {
 		text = fmt.Sprintf(`{"instance": %q, "data-centre": "laventille", "log-json": true, "gateway": {
   "caller-address": "%s:%d", "ready-address": "%s:%d", "operator-address": "%s:%d", "seeds": [%s],
   "weights-due": "6000ms", "retry-ratio": 0.2, "retry-slack": 52, "retry-window": "10s", "grace": "8s",
   "control-port": %d}}`,
-			m.Name, m.IP, c.port+portFront, m.IP, c.port+portReady, m.IP, c.port+portOperator, c.seeds(), c.port+portPeers)
+			m.Name, m.IP, c.port+portFront, m.IP, c.port+portReady, m.IP, c.port+portOperator, c.seeds, c.port+portPeers)
 	}
 	m.settings = filepath.Join(c.dir, m.Name+".jsonc")
 	return os.WriteFile(m.settings, []byte(text), 0o600)
@@ -168,7 +187,10 @@
 
 // StartProcess starts the process of a machine with the command of the deploy file.
 func (c *Cluster) StartProcess(m *Machine) error {
-	var err error
+	err := c.writeSettings(m)
+	if err != nil {
+		return err
+	}
 	if m.log == nil {
 		if m.log, err = os.Create(filepath.Join(c.dir, m.Name+".log")); err != nil {
 			return err
@@ -184,6 +206,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	m.bootstrap = false
 	m.cmd, m.exited = cmd, make(chan struct{})
 	go func(exited chan struct{}) {
 		_ = cmd.Wait() // how it ended does not matter
@@ -213,7 +236,7 @@
 
 // Stop ends all processes and removes the folder.
 func (c *Cluster) Stop() {
-	for _, m := range append(append([]*Machine{}, c.Controls...), c.Gateways...) {
+	for _, m := range c.Processes() {
 		if m.cmd == nil {
 			continue
 		}
