--- a/review/reviewkit/cluster.go
+++ b/review/reviewkit/cluster.go
@@ -39,9 +39,9 @@
 	disk int
 	// bootstrap is set while the machine starts together with the whole system for the first time.
 	bootstrap bool
-	log    *os.File
-	cmd    *exec.Cmd
-	exited chan struct{}
+	log       *os.File
+	cmd       *exec.Cmd
+	exited    chan struct{}
 }
 
 // Cluster is a small deployment.
