--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 here="$(cd "$(dirname "$0")" && pwd)"
-exec "$here/../run_case.sh" stale-directory "$here"
+exec "$here/../run_case.sh" replaced-machine "$here"
