--- a/coltscontrol/driver_output.go
+++ b/coltscontrol/driver_output.go
@@ -8,11 +8,9 @@
 
 	"github.com/pkg/errors"
 
-	"coltsfootstall/coltsdocument"
 	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsmetric"
 	"coltsfootstall/coltsreplica"
-	"coltsfootstall/coltsroute"
 	"coltsfootstall/coltsstate"
 	"coltsfootstall/coltswire"
 )
@@ -50,7 +48,6 @@
 		d.replica.MarkPersisted(out.Entries[n-1].Index, out.Entries[n-1].Term)
 	}
 	d.send(out.Messages)
-	oldRevision, oldRoutes := d.c.Revision(), d.c.machine.Routes().Version
 	if out.InstallSnapshot != nil {
 		if err := d.importState(*out.InstallSnapshot); err != nil {
 			return err
@@ -63,8 +60,7 @@
 		}
 	}
 	d.completeReads(out.Reads)
-	d.notifyDocument(oldRevision)
-	d.notifyRoutes(oldRoutes)
+	d.publishState()
 	return nil
 }
 
@@ -132,26 +128,22 @@
 	}
 }
 
-// notifyDocument wakes the calls that wait for a newer document if the revision has changed.
-func (d *replicaDriver) notifyDocument(oldRevision coltsdocument.Revision) {
-	revision := d.c.Revision()
-	if revision == oldRevision {
-		return
-	}
-	d.c.metrics.Put(coltsmetric.Revision, int64(revision))
-	d.c.documentChanged.Broadcast()
-}
-
-// notifyRoutes publishes a new route table and wakes the calls that wait for a newer route table or
-// weights version.
-func (d *replicaDriver) notifyRoutes(oldVersion coltsroute.Version) {
-	encoded := d.c.machine.Routes()
-	if encoded.Version != oldVersion {
+// publishState publishes what other goroutines read of the state machine and wakes those that wait for
+// a change. It compares with what was published last, so it also covers a state that was imported from
+// a snapshot at the start or while the instance runs.
+func (d *replicaDriver) publishState() {
+	if revision := d.c.Revision(); revision != d.publishedRevision {
+		d.publishedRevision = revision
+		d.c.metrics.Put(coltsmetric.Revision, int64(revision))
+		d.c.documentChanged.Broadcast()
+	}
+	encoded, published := d.c.machine.Routes(), d.c.routes.Load().Version
+	if encoded.Version != published {
 		d.c.routes.Store(&encoded)
-		d.c.log.Info("A route table is in force.", coltslog.Fields{"version": encoded.Version, "before": oldVersion})
+		d.c.log.Info("A route table is in force.", coltslog.Fields{"version": encoded.Version, "before": published})
 	}
-	if _, revision := d.c.machine.Weights.Newest(); encoded.Version != oldVersion || revision != d.weightsRevision {
-		d.weightsRevision = revision
+	if _, revision := d.c.machine.Weights.Newest(); encoded.Version != published || revision != d.publishedWeights {
+		d.publishedWeights = revision
 		d.c.watchChanged.Broadcast()
 	}
 }
--- a/coltscontrol/replica_driver.go
+++ b/coltscontrol/replica_driver.go
@@ -13,6 +13,7 @@
 	"github.com/alitto/pond/v2"
 	"github.com/pkg/errors"
 
+	"coltsfootstall/coltsdocument"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltsjournal"
 	"coltsfootstall/coltsreplica"
@@ -66,8 +67,10 @@
 	snapshotBytes      int
 	savingSnapshot     bool
 	hardState          coltsreplica.HardState
-	// weightsRevision is the revision of the named weights of which Watch calls were last notified.
-	weightsRevision uint64
+	// publishedRevision and publishedWeights are the revisions of the document and of the named
+	// weights that were last published.
+	publishedRevision coltsdocument.Revision
+	publishedWeights  uint64
 	// diskFailed is closed when the disk has failed; any goroutine may wait for it.
 	diskFailed chan struct{}
 }
@@ -119,6 +122,7 @@
 	if err := d.importState(restored.Snapshot); err != nil {
 		return nil, err
 	}
+	d.publishState()
 	d.hardState = restored.HardState
 	d.replica = coltsreplica.New(coltsreplica.Config{
 		ID:                c.replicaID,
