Take no parts in a restarted store while its old ones may still be fetched

Callers saw nothing: their prompts ran on memory that was being written, with answers like any other.

Cause: an offer to fetch ended when its gateway heard of a change or 3 s after its last contact, but a store that had restarted took parts again at once, and other gateways had the same ones saved. The directory was also confirmed as of the time at which a reply was read.

Change: offers end by the stores' clock, 6 s after a store's newest answer, and each fetch carries that time; a store whose boot is new takes no parts until all offers of before have expired; control instances mirror the boots, so that a new leader need not wait; the directory is confirmed as of the poll's request.

--- a/coltscontrol/registry_loop.go
+++ b/coltscontrol/registry_loop.go
@@ -114,6 +114,7 @@
 		return false
 	}
 	m.source, m.revision = reply.GetSource(), reply.GetRegistryRevision()
+	m.c.catalogue.Mirror(coltswire.DecodeStoreOffers(reply.GetStoreOffers()))
 	changed := false
 	for _, e := range coltswire.DecodeRegistryEntries(reply.GetEntries()) {
 		changed = m.c.registry.Mirror(e, m.c.cfg.Now()) || changed
@@ -222,6 +223,7 @@
 	reply.Entries, reply.RegistryRevision, reply.Whole = coltswire.EncodeRegistryEntries(entries), revision, !sameSource
 	hasChanges := !sameSource || len(entries) > 0
 	if r.GetRegistryOnly() {
+		s.addStoreOffers(reply)
 		return reply, hasChanges
 	}
 	if encoded := s.c.routes.Load(); uint64(encoded.Version) > r.GetRoutesVersion() {
@@ -243,6 +245,18 @@
 	return reply, s.addLeaderState(r, reply, sameSource) || hasChanges
 }
 
+// addStoreOffers adds the stores that answer. Instances of earlier releases read only the names of
+// those that take parts.
+func (s *controlServer) addStoreOffers(reply *coltspb.WatchReply) {
+	offers := s.c.catalogue.Offers(s.c.cfg.Now())
+	reply.StoreOffers = coltswire.EncodeStoreOffers(offers)
+	for _, o := range offers {
+		if o.TakesParts {
+			reply.UsableStores = append(reply.UsableStores, string(o.Store))
+		}
+	}
+}
+
 const (
 	// maxSuspects is the greatest number of suspects in one reply.
 	maxSuspects = 64
@@ -302,8 +316,6 @@
 	reply.StoresComplete, reply.StoresWhole, reply.StoresMore = true, delta.IsStart, delta.More
 	reply.Stores = coltswire.EncodeStoreChanges(delta.Changes)
 	reply.StoreRevision, reply.StoreBase = delta.Position.Revision, delta.Position.Base
-	for _, store := range s.c.catalogue.Usable() {
-		reply.UsableStores = append(reply.UsableStores, string(store))
-	}
+	s.addStoreOffers(reply)
 	return delta.IsStart || delta.More
 }
--- a/coltscontrol/stores_loop.go
+++ b/coltscontrol/stores_loop.go
@@ -118,7 +118,7 @@
 func (c *Control) updateFollowers(
 	ctx context.Context, table *storeTable, followed map[coltsidentity.Service]context.CancelFunc, followers *sync.WaitGroup,
 ) {
-	wanted, known := c.managedStores(table)
+	wanted, known := c.managedStores(ctx, table)
 	for name, cancel := range followed {
 		if _, ok := wanted[name]; !ok {
 			cancel()
@@ -151,14 +151,21 @@
 	stores  map[coltsidentity.Service]coltsroute.Store
 }
 
-// managedStores returns the managed stores of the current route table, and whether they are known,
-// which is so only while this instance leads and has a table. t caches them, so that each table is
+// managedStores returns the managed stores of the current route table, none while there is no table,
+// and whether they are known, which is so only while this instance leads. t caches them, so that each table is
 // decoded once.
-func (c *Control) managedStores(t *storeTable) (map[coltsidentity.Service]coltsroute.Store, bool) {
+func (c *Control) managedStores(ctx context.Context, t *storeTable) (map[coltsidentity.Service]coltsroute.Store, bool) {
 	encoded := c.routes.Load()
-	if !c.driver.view.Load().isLeader || encoded.Version == 0 {
+	if !c.driver.view.Load().isLeader {
 		return nil, false
 	}
+	if encoded.Version == 0 {
+		// An instance that has just been elected may not have applied the table yet.
+		ctx, cancel := context.WithTimeout(ctx, storesPeriod)
+		defer cancel()
+		err := c.driver.barrier(ctx)
+		return nil, err == nil && c.routes.Load().Version == 0
+	}
 	if encoded.Version == t.version {
 		return t.stores, true
 	}
@@ -235,7 +242,9 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		f.c.catalogue.SetListed(f.name, held, f.c.cfg.Now())
+		f.c.catalogue.SetListed(f.name, coltsstore.Listing{
+			BootEpoch: update.BootEpoch, Parts: held, AnsweredAt: update.Clock,
+		}, f.c.cfg.Now())
 		f.listed, f.bootEpoch, f.nextEvent = true, update.BootEpoch, update.NextEvent
 		f.c.catalogue.AbortedParts(f.name, update.Partial, f.c.cfg.Now())
 		f.nextInspection = f.c.cfg.Now().Add(inspectPeriod)
@@ -256,11 +265,12 @@
 			"store": f.name, "boot": update.BootEpoch, "boot-before": f.bootEpoch, "lost": update.EventsLost,
 		})
 		if update.BootEpoch != f.bootEpoch {
-			f.c.catalogue.Reset(f.name)
+			f.c.catalogue.Reset(f.name, f.c.cfg.Now())
 		}
 		return nil
 	}
 	f.nextEvent = update.NextEvent
+	f.c.catalogue.ConfirmAnswer(f.name, update.Clock)
 	f.apply(update)
 	return nil
 }
@@ -300,7 +310,7 @@
 		f.c.log.Warn("A store did not answer.", coltslog.Fields{"store": f.name, "address": f.store.Addr, "error": err})
 	}
 	f.listed = false
-	f.c.catalogue.MarkFailed(f.name)
+	f.c.catalogue.MarkFailed(f.name, f.c.cfg.Now())
 	coltsloop.Sleep(ctx, storeRetryDelay)
 }
 
--- a/coltsgateway/control_reply.go
+++ b/coltsgateway/control_reply.go
@@ -43,7 +43,7 @@
 	w.applyControlAddrs(addr, reply.GetControls(), reply.GetTerm())
 	if reply.GetLeads() {
 		if reply.GetStoresComplete() {
-			w.applyStores(reply, now)
+			w.applyStores(reply, askedAt)
 		}
 		w.g.balancer.SetPeerLoads(coltswire.DecodeLoads(reply.GetLoads(), now), now)
 		w.g.capacityFreed.Broadcast()
@@ -78,16 +78,16 @@
 	}
 }
 
-// applyStores applies the changes to the store directory.
-func (w *controlWatcher) applyStores(reply *coltspb.WatchReply, now time.Time) {
+// applyStores applies the changes to the store directory, which control knew after askedAt.
+func (w *controlWatcher) applyStores(reply *coltspb.WatchReply, askedAt time.Time) {
 	delta := coltsstore.Delta{
 		Changes:  coltswire.DecodeStoreChanges(reply.GetStores()),
 		Position: coltsstore.Position{Revision: reply.GetStoreRevision(), Base: reply.GetStoreBase()},
 		IsStart:  reply.GetStoresWhole(), More: reply.GetStoresMore(),
 	}
-	w.g.stores.Receive(delta, now)
+	w.g.stores.Receive(delta, askedAt)
 	w.storePosition = delta.Position
-	w.g.stores.SetUsable(coltswire.DecodeServices(reply.GetUsableStores()))
+	w.g.stores.SetOffers(coltswire.DecodeStoreOffers(reply.GetStoreOffers()))
 	if delta.IsStart || delta.More || w.receivingStores {
 		w.g.log.Info("Receiving the whole store directory.", coltslog.Fields{
 			"parts": w.g.stores.Len(), "more": delta.More, "usable": len(reply.GetUsableStores()), "source": w.source,
--- a/coltsgateway/forward_transfers.go
+++ b/coltsgateway/forward_transfers.go
@@ -19,6 +19,7 @@
 	f.plan = f.g.stores.Plan(lookups, f.table.Stores(), f.g.now())
 	meta.FetchFrom = f.storeAddrs(f.plan.Fetch)
 	meta.SaveTo = f.storeAddrs(f.plan.Save)
+	meta.FetchUntil = f.plan.FetchUntil
 }
 
 // storeAddrs returns the store address of each part of the prompt, the zero address for a part
--- a/coltsgateway/gateway_dialect.go
+++ b/coltsgateway/gateway_dialect.go
@@ -69,6 +69,8 @@
 	// if there is nothing to transfer.
 	FetchFrom []netip.AddrPort
 	SaveTo    []netip.AddrPort
+	// FetchUntil is the time on the upstreams' clock at which fetches must have ended; zero for any.
+	FetchUntil time.Time
 }
 
 // ResponseMetadata holds what the gateway needs from the headers of an upstream's response.
--- a/coltsstore/store_catalogue.go
+++ b/coltsstore/store_catalogue.go
@@ -86,6 +86,13 @@
 	parts    map[Key]storedPart
 	// partials are the parts that were incomplete when the store was last listed.
 	partials map[Key]partialProgress
+	// answeredAt is the time on the store's clock in its newest answer.
+	answeredAt time.Time
+	// withdrawnAt is when a store that had been listed restarted or stopped answering; zero while it
+	// is listed. neverOffered is set until the first listing of a store that no leader can have
+	// offered before.
+	withdrawnAt  time.Time
+	neverOffered bool
 }
 
 // Catalogue records what the stores hold. It is safe for concurrent use.
@@ -94,19 +101,25 @@
 	stores map[coltsidentity.Service]*storeState
 	// following is set while the set of stores is known.
 	following bool
-	log       changeLog
+	// boots holds the newest known boot of each store, also of those that are not followed.
+	boots map[coltsidentity.Service]boot
+	log   changeLog
 }
 
 // NewCatalogue returns a catalogue without stores.
 func NewCatalogue() *Catalogue {
-	return &Catalogue{stores: map[coltsidentity.Service]*storeState{}, log: newChangeLog()}
+	return &Catalogue{
+		stores: map[coltsidentity.Service]*storeState{}, boots: map[coltsidentity.Service]boot{}, log: newChangeLog(),
+	}
 }
 
 // Follow sets the stores that the catalogue covers, with their capacities in tokens. Others are
-// removed with their parts. New ones are pending until they have been listed.
+// removed with their parts. New ones are pending until they have been listed; one that is added while
+// others, or none, are followed was not offered before.
 func (c *Catalogue) Follow(capacities map[coltsidentity.Service]int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	wasFollowing := c.following
 	c.following = true
 	for store, s := range c.stores {
 		if _, covered := capacities[store]; !covered {
@@ -115,7 +128,12 @@
 		}
 	}
 	for store, capacity := range capacities {
-		c.storeLocked(store).capacity = capacity
+		_, followed := c.stores[store]
+		s := c.storeLocked(store)
+		s.capacity = capacity
+		if !followed {
+			s.neverOffered = wasFollowing
+		}
 	}
 }
 
@@ -141,30 +159,39 @@
 }
 
 // Reset removes all parts of a store, whose content is not known until it is listed.
-func (c *Catalogue) Reset(store coltsidentity.Service) { c.setStatus(store, statusPending) }
+func (c *Catalogue) Reset(store coltsidentity.Service, now time.Time) {
+	c.setStatus(store, statusPending, now)
+}
 
 // MarkFailed removes all parts of a store that does not answer. Until it is listed, it counts as
 // having no room either.
-func (c *Catalogue) MarkFailed(store coltsidentity.Service) { c.setStatus(store, statusFailed) }
+func (c *Catalogue) MarkFailed(store coltsidentity.Service, now time.Time) {
+	c.setStatus(store, statusFailed, now)
+}
 
-func (c *Catalogue) setStatus(store coltsidentity.Service, status storeStatus) {
+func (c *Catalogue) setStatus(store coltsidentity.Service, status storeStatus, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s, known := c.stores[store]
 	if !known {
 		return
 	}
+	if s.status == statusListed {
+		s.withdrawnAt = now
+	}
 	c.clearLocked(store, s)
 	s.status = status
 }
 
-// SetListed replaces the content of a store by the parts of a listing. Parts that stay the same,
-// retired ones too, cause no change.
-func (c *Catalogue) SetListed(store coltsidentity.Service, parts map[Key]int, now time.Time) {
+// SetListed replaces the content of a store by that of a listing. Parts that stay the same, retired
+// ones too, cause no change.
+func (c *Catalogue) SetListed(store coltsidentity.Service, l Listing, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.storeLocked(store)
-	s.status = statusListed
+	c.recordBootLocked(store, s, l.BootEpoch, now)
+	s.status, s.answeredAt = statusListed, l.AnsweredAt
+	parts := l.Parts
 	for key := range s.parts {
 		if _, held := parts[key]; !held {
 			c.removeLocked(store, s, key)
@@ -196,20 +223,6 @@
 	return c.following
 }
 
-// Usable returns the stores that have been listed and answer, sorted.
-func (c *Catalogue) Usable() []coltsidentity.Service {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var usable []coltsidentity.Service
-	for store, s := range c.stores {
-		if s.status == statusListed {
-			usable = append(usable, store)
-		}
-	}
-	slices.Sort(usable)
-	return usable
-}
-
 // Add records that a store holds a complete part. A part that was retired stays retired.
 func (c *Catalogue) Add(store coltsidentity.Service, key Key, tokens int, now time.Time) {
 	c.mu.Lock()
--- a/coltsstore/store_directory.go
+++ b/coltsstore/store_directory.go
@@ -1,6 +1,6 @@
 package coltsstore
 
-// The directory is an entry instance's copy of the catalogue. A copy that was not
+// The directory is a gateway's copy of the catalogue. A copy that was not
 // confirmed recently may list parts that are about to be freed, so nothing is fetched while
 // it is out of date.
 
@@ -27,8 +27,8 @@
 	shards [coltsshard.Count]directoryShard
 	// confirmedUntil is when the last confirmation expires; nil before the first one.
 	confirmedUntil atomic.Pointer[time.Time]
-	// usable are the stores that can be used; nil while they are not known.
-	usable atomic.Pointer[map[coltsidentity.Service]bool]
+	// offers are what the leader told last of the stores that answer; nil while it is not known.
+	offers atomic.Pointer[map[coltsidentity.Service]Offer]
 	// complete is set once the whole catalogue has been received.
 	complete atomic.Bool
 	usage    storeUsage
@@ -71,11 +71,12 @@
 	return &d.shards[coltsshard.Of(key.Part)]
 }
 
-// Receive applies a delta of the catalogue that was received at now. It is not safe for concurrent
+// Receive applies a delta of the catalogue that was asked for at askedAt, so that a reply that is read
+// late confirms nothing that has changed meanwhile. It is not safe for concurrent
 // use with itself. If the whole catalogue is received again, in several deltas, the directory keeps
 // its content until the last of them, as of its last confirmation. An empty directory uses what it
 // has so far, but has nothing saved before it is complete: the part may be listed in the next delta.
-func (d *Directory) Receive(delta Delta, now time.Time) {
+func (d *Directory) Receive(delta Delta, askedAt time.Time) {
 	if delta.IsStart {
 		d.incoming = nil
 		if d.Len() > 0 {
@@ -99,7 +100,7 @@
 		d.complete.Store(true)
 	}
 	if d.incoming == nil {
-		d.confirm(now)
+		d.confirm(askedAt)
 	}
 }
 
@@ -167,25 +168,28 @@
 	return 0
 }
 
-// confirm records that the copy is up to date at time now.
-func (d *Directory) confirm(now time.Time) {
-	until := now.Add(confirmationTTL)
+// confirm records that the copy was up to date at a time.
+func (d *Directory) confirm(at time.Time) {
+	until := at.Add(confirmationTTL)
 	d.confirmedUntil.Store(&until)
 }
 
-// SetUsable sets the stores that can be used. Parts are saved only to these.
-func (d *Directory) SetUsable(stores []coltsidentity.Service) {
-	usable := make(map[coltsidentity.Service]bool, len(stores))
-	for _, store := range stores {
-		usable[store] = true
+// SetOffers sets the stores that answer. Parts are saved only to those that take them.
+func (d *Directory) SetOffers(offers []Offer) {
+	byStore := make(map[coltsidentity.Service]Offer, len(offers))
+	for _, o := range offers {
+		byStore[o.Store] = o
 	}
-	d.usable.Store(&usable)
+	d.offers.Store(&byStore)
 }
 
-// canUse reports whether a store can be used.
-func (d *Directory) canUse(store coltsidentity.Service) bool {
-	usable := d.usable.Load()
-	return usable != nil && (*usable)[store]
+// offer returns what is known of a store; the zero Offer if it does not answer.
+func (d *Directory) offer(store coltsidentity.Service) Offer {
+	offers := d.offers.Load()
+	if offers == nil {
+		return Offer{}
+	}
+	return (*offers)[store]
 }
 
 // isConfirmed reports whether the copy is recent enough to be used.
--- a/coltsstore/store_plan.go
+++ b/coltsstore/store_plan.go
@@ -38,6 +38,9 @@
 type Plan struct {
 	Fetch []Transfer
 	Save  []Transfer
+	// FetchUntil is the time on the stores' clock at which the fetches must have ended; zero if it is
+	// not known or nothing is fetched.
+	FetchUntil time.Time
 }
 
 // FetchedTokens returns the number of tokens that a plan fetches.
@@ -68,6 +71,10 @@
 		}
 		if store, tokens, held := d.find(part.Key); held {
 			plan.Fetch[i] = Transfer{Store: store, Tokens: tokens}
+			until := d.offer(store).FetchUntil
+			if plan.FetchUntil.IsZero() || !until.IsZero() && until.Before(plan.FetchUntil) {
+				plan.FetchUntil = until
+			}
 			d.fetches.add(Change{Store: store, Key: part.Key})
 			continue
 		}
@@ -134,7 +141,7 @@
 ) (coltsidentity.Service, bool) {
 	best, bestScore, found := coltsidentity.Service(""), uint64(0), false
 	for _, s := range stores {
-		if !eligible(s) || !d.canUse(s.Name) || !d.hasRoom(s, part.Tokens) {
+		if !eligible(s) || !d.offer(s.Name).TakesParts || !d.hasRoom(s, part.Tokens) {
 			continue
 		}
 		if score := coltsshard.RendezvousScore([]byte(part.Key.Part), s.Name); !found || score > bestScore {
--- a/coltsstore/store_test.go
+++ b/coltsstore/store_test.go
@@ -13,6 +13,9 @@
 
 var now = time.Unix(1_700_000_000, 0)
 
+// offeredUntil is the time on the stores' clock until which the slow store of a directory is offered.
+var offeredUntil = time.UnixMilli(90_000)
+
 func key(part string) Key { return Key{Scope: "v1", Part: part} }
 
 func anyScope(string) bool { return true }
@@ -60,7 +63,7 @@
 // directory returns a confirmed directory to which some changes were applied.
 func directory(changes ...Change) *Directory {
 	d := NewDirectory()
-	d.SetUsable([]coltsidentity.Service{"fast", "slow"})
+	d.SetOffers([]Offer{{Store: "fast", TakesParts: true}, {Store: "slow", TakesParts: true, FetchUntil: offeredUntil}})
 	d.Receive(Delta{IsStart: true, Changes: changes}, now)
 	return d
 }
@@ -86,14 +89,14 @@
 		c := NewCatalogue()
 		c.Follow(capacities{"s": 100})
 		c.Add("s", key("a"), 10, now)
-		c.Reset("s")
+		c.Reset("s", now)
 		assertFetchable(t, c)
 		assert.Equal(t, c.UsedTokens("s"), 0)
 	})
 	t.Run("a full store retires the least recently used parts", func(t *testing.T) {
 		c := NewCatalogue()
 		c.Follow(capacities{"s": 100})
-		c.SetListed("s", nil, now)
+		c.SetListed("s", Listing{}, now)
 		for i := range 10 {
 			c.Add("s", key(fmt.Sprint(i)), 10, now.Add(time.Duration(i)))
 		}
@@ -106,30 +109,32 @@
 	t.Run("a full store retires nothing while another has room", func(t *testing.T) {
 		c := NewCatalogue()
 		c.Follow(capacities{"s": 10, "empty": 10})
-		c.SetListed("s", map[Key]int{key("a"): 10}, now)
-		c.SetListed("empty", nil, now)
+		c.SetListed("s", Listing{Parts: map[Key]int{key("a"): 10}}, now)
+		c.SetListed("empty", Listing{}, now)
 		assert.Equal(t, c.Retire("s", anyScope, now.Add(minIdleTime)), 0)
 	})
 	t.Run("a store that is gone or does not answer has no room", func(t *testing.T) {
 		c := NewCatalogue()
 		c.Follow(capacities{"s": 10, "gone": 10, "dead": 10})
-		c.SetListed("s", map[Key]int{key("a"): 10}, now)
-		c.SetListed("gone", nil, now)
-		c.SetListed("dead", nil, now)
+		c.SetListed("s", Listing{Parts: map[Key]int{key("a"): 10}}, now)
+		c.SetListed("gone", Listing{}, now)
+		c.SetListed("dead", Listing{}, now)
 		c.Follow(capacities{"s": 10, "dead": 10})
-		c.MarkFailed("dead")
+		c.MarkFailed("dead", now)
 		assert.Equal(t, c.Retire("s", anyScope, now.Add(minIdleTime)), 1)
 	})
 	t.Run("it is complete once every store has been listed or has failed", func(t *testing.T) {
 		c := NewCatalogue()
 		assert.Assert(t, !c.Complete(), "the stores are not known")
 		c.Follow(capacities{"a": 10, "b": 10})
-		c.SetListed("a", nil, now)
+		c.SetListed("a", Listing{}, now)
 		assert.Assert(t, !c.Complete())
-		c.MarkFailed("b")
+		c.MarkFailed("b", now)
 		assert.Assert(t, c.Complete())
-		assert.DeepEqual(t, c.Usable(), []coltsidentity.Service{"a"})
-		c.Reset("a")
+		offers := c.Offers(now)
+		assert.Equal(t, len(offers), 1)
+		assert.Equal(t, offers[0].Store, coltsidentity.Service("a"))
+		c.Reset("a", now)
 		assert.Assert(t, !c.Complete(), "it restarted")
 		c.Abandon()
 		assert.Assert(t, !c.Complete(), "another instance leads")
@@ -137,9 +142,9 @@
 	t.Run("a listing changes only what differs", func(t *testing.T) {
 		c := NewCatalogue()
 		c.Follow(capacities{"s": 100})
-		c.SetListed("s", map[Key]int{key("a"): 10, key("b"): 10}, now)
+		c.SetListed("s", Listing{Parts: map[Key]int{key("a"): 10, key("b"): 10}}, now)
 		position := c.Since(Position{}, noLimit).Position
-		c.SetListed("s", map[Key]int{key("b"): 10, key("c"): 10}, now)
+		c.SetListed("s", Listing{Parts: map[Key]int{key("b"): 10, key("c"): 10}}, now)
 		changes := c.Since(position, noLimit).Changes
 		assert.DeepEqual(t, changes, []Change{{Store: "s", Key: key("a")}, added("s", "c", 10)})
 	})
@@ -175,7 +180,7 @@
 	t.Run("a reset forgets the progress of partial parts", func(t *testing.T) {
 		c := NewCatalogue()
 		assert.Equal(t, countAborted(c, 10, 0), 0)
-		c.Reset("s")
+		c.Reset("s", now)
 		assert.Equal(t, countAborted(c, 10, stallTimeout), 0)
 	})
 }
@@ -185,6 +190,11 @@
 		d := directory(added("slow", "a", 500))
 		assertTransfer(t, plan(d, now, []PromptPart{{key("a"), 500}}...).Fetch[0], "slow", 500)
 	})
+	t.Run("a fetch ends while the store is offered", func(t *testing.T) {
+		d := directory(added("slow", "a", 500), added("fast", "b", 500))
+		assert.Equal(t, plan(d, now, PromptPart{key("a"), 500}, PromptPart{key("b"), 500}).FetchUntil, offeredUntil)
+		assert.Assert(t, plan(d, now, PromptPart{key("b"), 500}).FetchUntil.IsZero(), "the fast store gives no time")
+	})
 	t.Run("a small part is saved to the fast store and a large one to the slow store", func(t *testing.T) {
 		got := plan(directory(), now, []PromptPart{{key("a"), 500}, {key("b"), 8000}}...)
 		assertTransfer(t, got.Save[0], "fast", 500)
--- a/coltstrade/trade_gateway.go
+++ b/coltstrade/trade_gateway.go
@@ -70,7 +70,7 @@
 		g.stores.Receive(delta, now)
 		g.position, more = delta.Position, delta.More
 	}
-	g.stores.SetUsable(g.sim.catalogue.Usable())
+	g.stores.SetOffers(g.sim.catalogue.Offers(now))
 	for _, fetch := range g.stores.TakeFetches() {
 		g.sim.catalogue.MarkFetched(fetch.Store, fetch.Key, now)
 	}
--- a/coltstrade/trade_simulation.go
+++ b/coltstrade/trade_simulation.go
@@ -120,9 +120,10 @@
 			capacities[st.service.Name] = kind.CacheTokens
 		}
 	}
+	sim.catalogue.Follow(nil)
 	sim.catalogue.Follow(capacities)
 	for store := range capacities {
-		sim.catalogue.SetListed(store, nil, sim.scheduler.now)
+		sim.catalogue.SetListed(store, coltsstore.Listing{}, sim.scheduler.now)
 	}
 	sim.index = newIndex(sim.scenario, sim.engine, stores)
 	for i := range sim.scenario.Gateways {
--- a/coltswire/wire_store.go
+++ b/coltswire/wire_store.go
@@ -34,9 +34,29 @@
 	})
 }
 
-// DecodeServices returns the services whose names a message holds.
-func DecodeServices(names []string) []coltsidentity.Service {
-	return convert(names, func(name string) coltsidentity.Service { return coltsidentity.Service(name) })
+// EncodeStoreOffers returns the protobuf messages for the stores that answer.
+func EncodeStoreOffers(offers []coltsstore.Offer) []*coltspb.StoreOffer {
+	return convert(offers, func(o coltsstore.Offer) *coltspb.StoreOffer {
+		m := &coltspb.StoreOffer{Store: string(o.Store), BootEpoch: o.BootEpoch, TakesParts: o.TakesParts}
+		if !o.FetchUntil.IsZero() {
+			micros := o.FetchUntil.UnixMicro()
+			m.FetchUntilMicros = &micros
+		}
+		return m
+	})
+}
+
+// DecodeStoreOffers returns the stores that answer held in protobuf messages.
+func DecodeStoreOffers(messages []*coltspb.StoreOffer) []coltsstore.Offer {
+	return convert(messages, func(m *coltspb.StoreOffer) coltsstore.Offer {
+		o := coltsstore.Offer{
+			Store: coltsidentity.Service(m.GetStore()), BootEpoch: m.GetBootEpoch(), TakesParts: m.GetTakesParts(),
+		}
+		if m.FetchUntilMicros != nil {
+			o.FetchUntil = time.UnixMicro(m.GetFetchUntilMicros())
+		}
+		return o
+	})
 }
 
 // EncodeLoads returns the protobuf messages for the loads of upstreams.
