Refuse requests late in a stop that can't end within it

Callers saw: a request sent on a kept connection 3 s and more after a SIGTERM was passed on and cut off at the end of the grace period, also one that may not be repeated.

Cause: a response that began before the stop can't announce that its connection closes, and a request that came later was taken whatever time was left.

Change: coltsdrain.Plan decides by the deadlines of the stop and of the request, for gateways and the OpenAI-style entry: once no more connections are accepted, a request that may not end in time is refused as not run. At the end of the grace period, requests whose answer has not begun are answered truly.

--- a/coltsentry/caller_call.go
+++ b/coltsentry/caller_call.go
@@ -182,7 +182,7 @@
 // shutdownTriesExhausted reports whether the instance is shutting down and has made the
 // maximum number of tries. An unreachable ledger must not delay a shutdown by minutes.
 func (e *Entry) shutdownTriesExhausted(tries int) bool {
-	return tries >= maxSettleTriesAtShutdown && e.draining.Load()
+	return tries >= maxSettleTriesAtShutdown && e.isDraining()
 }
 
 // retryInBackground sends a command repeatedly until control accepts it,
--- a/coltsentry/caller_server.go
+++ b/coltsentry/caller_server.go
@@ -37,9 +37,14 @@
 	e.metrics.Add(coltsmetric.Requests, 1)
 	e.metrics.Add(coltsmetric.RequestsUnderWay, 1)
 	defer e.metrics.Add(coltsmetric.RequestsUnderWay, -1)
-	if e.draining.Load() {
+	if e.isDraining() {
 		ctx.SetConnectionClose()
 	}
+	now := e.cfg.Now()
+	if refusal := e.drainPlan.Load().Refusal(now, now.Add(e.settings.RequestTimeout)); refusal != nil {
+		e.refuse(ctx, refusal)
+		return
+	}
 	handler, refusal := e.callerHandler(ctx)
 	if refusal != nil {
 		e.refuse(ctx, refusal)
--- a/coltsentry/entry.go
+++ b/coltsentry/entry.go
@@ -19,6 +19,7 @@
 	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltscache"
 	"coltsfootstall/coltsdocument"
+	"coltsfootstall/coltsdrain"
 	"coltsfootstall/coltsfleet"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslog"
@@ -94,7 +95,8 @@
 	background pond.Pool
 
 	listeners listeners
-	draining  atomic.Bool
+	// drainPlan is set when a shutdown begins.
+	drainPlan atomic.Pointer[coltsdrain.Plan]
 	// stop ends the background loops; loops waits for them.
 	stop  context.CancelFunc
 	loops sync.WaitGroup
@@ -247,7 +249,7 @@
 // ready reports whether callers should be sent to this instance: it has a document and is
 // neither shutting down nor isolated.
 func (e *Entry) ready() bool {
-	return !e.draining.Load() && e.document().Revision > 0 && !e.isolated()
+	return !e.isDraining() && e.document().Revision > 0 && !e.isolated()
 }
 
 // member returns the entry's description for heartbeats.
--- a/coltsentry/entry_drain.go
+++ b/coltsentry/entry_drain.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"coltsfootstall/coltsdrain"
 	"coltsfootstall/coltslog"
 )
 
@@ -20,7 +21,8 @@
 // Shutdown stops the entry gracefully. It returns an error if requests were still running
 // when the drain timed out.
 func (e *Entry) Shutdown() error {
-	e.draining.Store(true)
+	lateFrom := e.cfg.Now().Add(e.settings.DrainNotice)
+	e.drainPlan.Store(&coltsdrain.Plan{LateFrom: lateFrom, EndBy: lateFrom.Add(e.settings.DrainTimeout)})
 	e.log.Info("Draining.", coltslog.Fields{"under-way": e.listeners.openCallerConns()})
 	time.Sleep(e.settings.DrainNotice)
 	ctx, cancel := context.WithTimeout(context.Background(), e.settings.DrainTimeout)
@@ -39,3 +41,6 @@
 	e.log.Info("Stopped.", nil)
 	return errors.Wrap(err, "drain callers")
 }
+
+// isDraining reports whether the instance is being stopped.
+func (e *Entry) isDraining() bool { return e.drainPlan.Load() != nil }
--- a/coltsentry/operator_server.go
+++ b/coltsentry/operator_server.go
@@ -35,7 +35,7 @@
 
 func (e *Entry) serveReady(ctx *fasthttp.RequestCtx) {
 	switch {
-	case e.draining.Load():
+	case e.isDraining():
 		ctx.Error("draining", fasthttp.StatusServiceUnavailable)
 	case e.isolated():
 		ctx.Error("no contact with control or another entry", fasthttp.StatusServiceUnavailable)
--- a/coltsgateway/forward_buffered.go
+++ b/coltsgateway/forward_buffered.go
@@ -55,7 +55,7 @@
 func (f *forwarding) encodeResponse(x *exchange, status int, content []byte) []byte {
 	text := appendStatusLine(make([]byte, 0, len(content)+512), status)
 	text = f.g.dialect.AppendResponseHeaders(text, x.resp)
-	f.closeConn = f.closeConn || f.g.draining.Load()
+	f.closeConn = f.closeConn || f.g.isDraining()
 	if status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
 		return finishHead(text, f.closeConn)
 	}
@@ -98,7 +98,7 @@
 	r := f.g.dialect.BuildErrorResponse(refused, now)
 	f.status = r.Status
 	f.logRefusal(id, refused, r)
-	f.closeConn = f.closeConn || f.g.draining.Load()
+	f.closeConn = f.closeConn || f.g.isDraining()
 	text := f.g.dialect.AppendErrorHeaders(appendStatusLine(nil, r.Status), r, id)
 	text = append(finishHeadWithLength(text, len(r.Message), f.closeConn), r.Message...)
 	if f.req.Header.IsHead() {
--- a/coltsgateway/forward_report.go
+++ b/coltsgateway/forward_report.go
@@ -4,7 +4,6 @@
 // refusal.
 
 import (
-	"context"
 	"math"
 
 	"coltsfootstall/coltsattempt"
@@ -30,7 +29,7 @@
 }
 
 // report logs how a request ended and records its latencies.
-func (f *forwarding) report(ctx context.Context) {
+func (f *forwarding) report(callerLeft bool) {
 	now := f.g.now()
 	fields := f.logFields(f.lifecycle.Inbound.ID)
 	fields["upstreams"], fields["status"], fields["whole"] = f.tried, f.status, f.completed
@@ -50,7 +49,7 @@
 		f.g.latency.record(f.lifecycle.Route.Name+" pause", f.longestPause)
 	}
 	f.g.latency.record(f.lifecycle.Route.Name+" whole", now.Sub(f.lifecycle.Arrived))
-	if ctx.Err() != nil {
+	if callerLeft {
 		f.g.metrics.Add(coltsmetric.CallerDisconnects, 1)
 		fields["caller-left"] = true
 	}
--- a/coltsgateway/forward_request.go
+++ b/coltsgateway/forward_request.go
@@ -85,6 +85,9 @@
 	}
 	f.parts = f.lifecycle.ObservedParts()
 	f.lastEventID = incoming.LastEventID
+	if refused := f.g.drainPlan.Load().Refusal(now, f.lifecycle.Deadline()); refused != nil {
+		return f.refuse(incoming.ID, refused)
+	}
 	f.conn.nc.SetWriteLimit(f.lifecycle.Deadline().Add(writeGrace))
 	defer f.conn.nc.SetWriteLimit(time.Time{})
 	if refused := f.quarantineRefusal(now); refused != nil {
@@ -97,7 +100,7 @@
 	reusable := f.runAttempts(ctx)
 	f.conn.nc.StopWatch()
 	f.clearSuspicion()
-	f.report(ctx)
+	f.report(f.callerLeft(ctx))
 	// During a shutdown too, only a connection whose caller was told so is closed here.
 	return reusable
 }
@@ -107,7 +110,7 @@
 func (f *forwarding) runAttempts(ctx context.Context) bool {
 	for {
 		choice, err := f.choose(ctx)
-		if ctx.Err() != nil {
+		if f.callerLeft(ctx) {
 			return false
 		}
 		if err != nil {
@@ -118,12 +121,15 @@
 		if failure == nil {
 			return f.completed && !f.closeConn
 		}
-		if ctx.Err() != nil {
+		if f.callerLeft(ctx) {
 			return false
 		}
 		f.recordCrash(ctx, failure)
 		now := f.g.now()
 		verdict := f.lifecycle.RecordFailure(failure.Failure, f.takeRetry, now)
+		if ctx.Err() != nil {
+			verdict = coltsattempt.VerdictFail
+		}
 		f.logAttempt(failure, verdict)
 		if verdict == coltsattempt.VerdictFail {
 			return f.giveUp(f.lifecycle.Refusal(failure.Failure, now))
@@ -132,6 +138,12 @@
 	}
 }
 
+// callerLeft reports whether ctx, the request's, has ended because its caller disconnected. It also ends
+// when the instance stops serving; the caller can be answered then.
+func (f *forwarding) callerLeft(ctx context.Context) bool {
+	return ctx.Err() != nil && f.g.ctx.Err() == nil
+}
+
 // takeRetry takes one retry from the retry budget that the instances share, and reports whether
 // one was left.
 func (f *forwarding) takeRetry() bool {
--- a/coltsgateway/forward_stream.go
+++ b/coltsgateway/forward_stream.go
@@ -144,7 +144,7 @@
 	f.g.balancer.AnswerStarted(&f.choice, f.g.now())
 	f.status = x.resp.StatusCode()
 	f.firstAt = f.g.now()
-	f.closeConn = f.closeConn || f.g.draining.Load()
+	f.closeConn = f.closeConn || f.g.isDraining()
 	dst = appendStatusLine(dst, f.status)
 	dst = f.g.dialect.AppendResponseHeaders(dst, x.resp)
 	dst = append(dst, "Transfer-Encoding: chunked\r\n"...)
--- a/coltsgateway/gateway.go
+++ b/coltsgateway/gateway.go
@@ -16,6 +16,7 @@
 	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltsbalance"
 	"coltsfootstall/coltsbuffer"
+	"coltsfootstall/coltsdrain"
 	"coltsfootstall/coltslink"
 	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsloop"
@@ -98,9 +99,9 @@
 	// have ended.
 	accepting sync.WaitGroup
 	callers   sync.WaitGroup
-	// draining is set when a shutdown begins, closing once no more connections are accepted.
-	draining atomic.Bool
-	closing  atomic.Bool
+	// drainPlan is set when a shutdown begins, closing once no more connections are accepted.
+	drainPlan atomic.Pointer[coltsdrain.Plan]
+	closing   atomic.Bool
 }
 
 // New returns a gateway instance that is not started.
--- a/coltsgateway/gateway_operator.go
+++ b/coltsgateway/gateway_operator.go
@@ -12,7 +12,7 @@
 // isReady reports whether the instance can serve callers: it has a route table and is not
 // shutting down.
 func (g *Gateway) isReady() bool {
-	return !g.draining.Load() && g.routes.Current() != nil
+	return !g.isDraining() && g.routes.Current() != nil
 }
 
 // guard returns a handler that answers with an error if handler panics.
--- a/coltsgateway/gateway_shutdown.go
+++ b/coltsgateway/gateway_shutdown.go
@@ -3,11 +3,13 @@
 // On shutdown, a gateway first fails its readiness check but keeps serving until the load
 // balancer has noticed. Then it accepts what is waiting at its listener and nothing more, serves
 // the requests that have reached it, closes the connections, and stops before its grace period
-// ends.
+// ends. Requests that come late on kept connections are taken only if they end by then, and those
+// that are still being served then are answered that their outcome is not known.
 
 import (
 	"time"
 
+	"coltsfootstall/coltsdrain"
 	"coltsfootstall/coltslog"
 )
 
@@ -20,17 +22,21 @@
 	// exitMargin is how long before the end of the grace period the process stops, so that it
 	// exits by itself instead of being killed.
 	exitMargin = 300 * time.Millisecond
+	// lastAnswersTimeout bounds the wait for the answers that are sent at the end. It is shorter than
+	// exitMargin.
+	lastAnswersTimeout = 150 * time.Millisecond
 )
 
 // Shutdown stops the instance gracefully.
 func (g *Gateway) Shutdown() error {
 	grace := g.settings.ShutdownGracePeriod
+	notice := min(drainDelay, time.Duration(maxDrainShare*float64(grace)))
 	endBy := g.now().Add(grace - exitMargin)
-	g.draining.Store(true)
+	g.drainPlan.Store(&coltsdrain.Plan{LateFrom: g.now().Add(notice + closeLinger), EndBy: endBy})
 	g.log.Info("Stopping.", coltslog.Fields{
 		"connections": g.openConns.count(), "end-by": endBy.Format(time.RFC3339Nano),
 	})
-	time.Sleep(min(drainDelay, time.Duration(maxDrainShare*float64(grace))))
+	time.Sleep(notice)
 	_ = g.callerListener.Close() // on an error too, no further connections are accepted
 	g.accepting.Wait()
 	g.closing.Store(true)
@@ -49,7 +55,15 @@
 		timedOut = true
 	}
 	g.stop()
+	timer.Reset(lastAnswersTimeout)
+	select {
+	case <-done:
+	case <-timer.C:
+	}
 	g.pool.CloseIdle()
 	g.log.Info("Stopped.", coltslog.Fields{"cut-short": timedOut})
 	return nil
 }
+
+// isDraining reports whether the instance is being stopped.
+func (g *Gateway) isDraining() bool { return g.drainPlan.Load() != nil }
