Pass the vote of a control instance that is stopped to a spare member

Operators saw: after a planned replacement of a control machine and the loss of two disks a second later, no instance led any more; the config could be neither read nor changed.

Cause: the successor stays without a vote while the group has its five voters, and an instance that has exited keeps its vote until it has been silent for 3 s, so the group tolerated one loss instead of two.

Change: a control instance that is stopped asks the leader to pass its vote on (HandOver) and exits once that is committed, or after 2 s. coltsmembership.Group decides: a spare member gets a vote first, then the stopping voter is removed, the leader included. Without a spare member nothing changes.

--- a/coltscontrol/control.go
+++ b/coltscontrol/control.go
@@ -86,6 +86,8 @@
 	// that joined later).
 	replicaID coltsidentity.Instance
 	founders  []coltsidentity.Instance
+	// leavers are the members of the group that are stopping, as told to the leader.
+	leavers leavers
 	// registry holds the upstreams that report to control. registrySource identifies this
 	// registry: its revision numbers mean nothing in the registry of another instance or process.
 	registry       *coltsregistry.Registry
@@ -249,6 +251,9 @@
 // ReplicaID returns this instance's ID in the replication group.
 func (c *Control) ReplicaID() coltsidentity.Instance { return c.replicaID }
 
+// Leads reports whether this instance leads the group.
+func (c *Control) Leads() bool { return c.driver.view.Load().isLeader }
+
 // Voters returns the group's voters as this instance knows them, or nil while its state may
 // be stale.
 func (c *Control) Voters() []coltsidentity.Instance {
@@ -306,9 +311,10 @@
 	_, _ = leader.Heartbeat(callCtx, &coltspb.HeartbeatRequest{Member: coltswire.EncodeMember(self), Forwarded: true})
 }
 
-// Shutdown stops the servers and loops, waits for running calls and closes the journal.
+// Shutdown passes this instance's vote on, stops the servers and loops, waits for running calls and closes the journal.
 func (c *Control) Shutdown() error {
 	c.log.Info("Stopping.", nil)
+	c.handOverVote()
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	// Wake the long-polling calls: they would keep the server from shutting down.
--- a/coltscontrol/group_loop.go
+++ b/coltscontrol/group_loop.go
@@ -59,7 +59,7 @@
 	var change coltsmembership.Change
 	err := c.driver.changeGroup(ctx, func(replica *coltsreplica.Replica) error {
 		group := coltsmembership.Group{Self: c.replicaID, Voters: c.requiredVoters()}
-		change = group.NextChange(groupMembers(replica, c.replicaID), c.cfg.Now())
+		change = group.NextChange(c.groupMembers(replica), c.cfg.Now())
 		switch change.Step {
 		case coltsmembership.StepPromote:
 			return replica.Promote(change.Member)
@@ -88,9 +88,9 @@
 	return coltsmembership.RequiredVoters(c.settings.ToleratedLosses)
 }
 
-// groupMembers returns the group's members with their replication progress, as the leader knows them.
-func groupMembers(replica *coltsreplica.Replica, self coltsidentity.Instance) []coltsmembership.GroupMember {
-	configuration := replica.Configuration()
+// groupMembers returns the group's members with their replication progress, as this leader knows them.
+func (c *Control) groupMembers(replica *coltsreplica.Replica) []coltsmembership.GroupMember {
+	configuration, self, now := replica.Configuration(), c.replicaID, c.cfg.Now()
 	var members []coltsmembership.GroupMember
 	for _, p := range replica.Followers() {
 		members = append(members, coltsmembership.GroupMember{
@@ -98,9 +98,12 @@
 			Voter:    configuration.IsVoter(p.ID),
 			CaughtUp: p.MatchIndex >= replica.CommitIndex(),
 			HeardAt:  p.LastReplyAt,
+			Leaving:  c.leavers.contains(p.ID, now),
 		})
 	}
-	return append(members, coltsmembership.GroupMember{ID: self, Voter: configuration.IsVoter(self), CaughtUp: true})
+	return append(members, coltsmembership.GroupMember{
+		ID: self, Voter: configuration.IsVoter(self), CaughtUp: true, Leaving: c.leavers.contains(self, now),
+	})
 }
 
 // joiner sends requests to join the group to the known instances in turn.
--- a/coltsmembership/membership_group.go
+++ b/coltsmembership/membership_group.go
@@ -68,6 +68,8 @@
 	CaughtUp bool
 	// HeardAt is when the leader last received a message from it.
 	HeardAt time.Time
+	// Leaving is set if it is stopping.
+	Leaving bool
 }
 
 // Step is a kind of membership change.
@@ -107,7 +109,7 @@
 // NextChange returns the change that the leader should make now.
 func (g Group) NextChange(members []GroupMember, now time.Time) Change {
 	for _, rule := range []func([]GroupMember, time.Time) Change{
-		g.removeReplaced, g.promote, g.removeLost, g.addExtraVoter, g.removeLostNonVoter,
+		g.removeReplaced, g.promote, g.replaceLeaving, g.removeLost, g.addExtraVoter, g.removeLostNonVoter,
 	} {
 		if change := rule(members, now); change.Step != StepNone {
 			return change
@@ -144,6 +146,29 @@
 	return Change{}
 }
 
+// replaceLeaving passes the vote of a voter that is stopping to a spare member. The spare gets its vote
+// first, so that the group tolerates as many losses meanwhile.
+func (g Group) replaceLeaving(members []GroupMember, now time.Time) Change {
+	for _, m := range members {
+		if !m.Voter || !m.Leaving {
+			continue
+		}
+		if count(members, isVoter) > g.Voters {
+			return g.removeIfQuorumRemains(m, members, now, "it is stopping, and another instance has its place")
+		}
+		if spare := g.findSpare(members, now); spare != nil {
+			return Change{Step: StepPromote, Member: spare.ID, Reason: "a voter is stopping"}
+		}
+	}
+	return Change{}
+}
+
+// CanReplace reports whether a member that is stopping has a vote that a spare member can take over.
+func (g Group) CanReplace(id coltsidentity.Instance, members []GroupMember, now time.Time) bool {
+	isVoting := slices.ContainsFunc(members, func(m GroupMember) bool { return m.ID == id && m.Voter })
+	return isVoting && (g.findSpare(members, now) != nil || count(members, isVoter) > g.Voters)
+}
+
 // removeLost removes a lost voter if a spare member is ready to replace it or has already
 // been given a vote. The lost voter may still come back, so it is kept until the remaining
 // voters can tolerate one more failure without it.
@@ -225,7 +250,7 @@
 
 // isReady reports whether a member has no vote and could be given one.
 func (g Group) isReady(m GroupMember, now time.Time) bool {
-	return !m.Voter && m.CaughtUp && g.isAlive(m, now)
+	return !m.Voter && !m.Leaving && m.CaughtUp && g.isAlive(m, now)
 }
 
 func isVoter(m GroupMember) bool { return m.Voter }
--- a/coltsmembership/membership_group_test.go
+++ b/coltsmembership/membership_group_test.go
@@ -33,6 +33,14 @@
 	return members
 }
 
+// withLeaving marks a member as stopping.
+func withLeaving(members []GroupMember, id string) []GroupMember {
+	for i := range members {
+		members[i].Leaving = members[i].Leaving || members[i].ID == coltsidentity.Instance(id)
+	}
+	return members
+}
+
 func assertChange(t *testing.T, members []GroupMember, step Step, member string) {
 	t.Helper()
 	got := Group{Self: "10.0.0.1:7/a", Voters: 5}.NextChange(members, now)
@@ -81,6 +89,32 @@
 		silent := []string{"10.0.0.2:7/b", "10.0.0.3:7/c", "10.0.0.4:7/d"}
 		assertChange(t, append(voters(5*time.Second, silent...), newMember("10.0.0.2:7/n", false, 0)), StepNone, "")
 	})
+	t.Run("a voter that is stopping is replaced by a spare member, which gets its vote first", func(t *testing.T) {
+		members := append(withLeaving(voters(0), "10.0.0.2:7/b"), newMember("10.0.0.9:7/n", false, 0))
+		assertChange(t, members, StepPromote, "10.0.0.9:7/n")
+		members[5].Voter = true
+		assertChange(t, members, StepRemove, "10.0.0.2:7/b")
+	})
+	t.Run("a leader that is stopping is replaced too", func(t *testing.T) {
+		members := append(withLeaving(voters(0), "10.0.0.1:7/a"), newMember("10.0.0.9:7/n", false, 0))
+		members[5].Voter = true
+		assertChange(t, members, StepRemove, "10.0.0.1:7/a")
+	})
+	t.Run("a voter that is stopping keeps its vote while no other member can have it", func(t *testing.T) {
+		assertChange(t, withLeaving(voters(0), "10.0.0.2:7/b"), StepNone, "")
+	})
+	t.Run("a member that is stopping gets no vote", func(t *testing.T) {
+		members := append(voters(5*time.Second, "10.0.0.2:7/b"), newMember("10.0.0.9:7/n", false, 0))
+		assertChange(t, withLeaving(members, "10.0.0.9:7/n"), StepNone, "")
+	})
+	t.Run("a vote can be passed on while there is a spare member", func(t *testing.T) {
+		group := Group{Self: "10.0.0.1:7/a", Voters: 5}
+		members := withLeaving(voters(0), "10.0.0.2:7/b")
+		assert.Assert(t, !group.CanReplace("10.0.0.2:7/b", members, now))
+		members = append(members, newMember("10.0.0.9:7/n", false, 0))
+		assert.Assert(t, group.CanReplace("10.0.0.2:7/b", members, now))
+		assert.Assert(t, !group.CanReplace("10.0.0.9:7/n", members, now), "it has no vote")
+	})
 	t.Run("a silent member without a vote is removed", func(t *testing.T) {
 		assertChange(t, append(voters(0), newMember("10.0.0.9:7/n", false, time.Minute)), StepRemove, "10.0.0.9:7/n")
 	})
--- a/coltsreplica/replica.go
+++ b/coltsreplica/replica.go
@@ -237,6 +237,9 @@
 // Configuration returns the newest configuration in the log, which may be uncommitted.
 func (n *Replica) Configuration() Configuration { return n.log.configuration }
 
+// ConfigurationCommitted reports whether the newest configuration in the log is committed.
+func (n *Replica) ConfigurationCommitted() bool { return n.log.configurationIndex <= n.commitIndex }
+
 // NextTickAt returns the time of the next Tick that has work to do.
 func (n *Replica) NextTickAt() time.Time {
 	if n.role == RoleLeader && n.nextHeartbeatAt.Before(n.electionDeadline) {
--- a/coltswire/coltspb/coltspbconnect/colts.connect.go
+++ b/coltswire/coltspb/coltspbconnect/colts.connect.go
@@ -60,6 +60,8 @@
 	ControlChangeReplicasProcedure = "/colts.v1.Control/ChangeReplicas"
 	// ControlJoinProcedure is the fully-qualified name of the Control's Join RPC.
 	ControlJoinProcedure = "/colts.v1.Control/Join"
+	// ControlHandOverProcedure is the fully-qualified name of the Control's HandOver RPC.
+	ControlHandOverProcedure = "/colts.v1.Control/HandOver"
 	// ControlRoutesProcedure is the fully-qualified name of the Control's Routes RPC.
 	ControlRoutesProcedure = "/colts.v1.Control/Routes"
 	// ControlReportProcedure is the fully-qualified name of the Control's Report RPC.
@@ -100,6 +102,8 @@
 	ChangeReplicas(context.Context, *coltspb.ChangeReplicasRequest) (*coltspb.ChangeReplicasReply, error)
 	// Join asks for a place in a group that forms itself.
 	Join(context.Context, *coltspb.JoinRequest) (*coltspb.JoinReply, error)
+	// HandOver passes the vote of a member that is stopping to a member without one.
+	HandOver(context.Context, *coltspb.HandOverRequest) (*coltspb.HandOverReply, error)
 	// Routes returns the route table that a quorum confirms to be the newest.
 	Routes(context.Context, *coltspb.RoutesRequest) (*coltspb.RoutesReply, error)
 	// Report takes in what an upstream reports of itself.
@@ -180,6 +184,12 @@
 			connect.WithSchema(controlMethods.ByName("Join")),
 			connect.WithClientOptions(opts...),
 		),
+		handOver: connect.NewClient[coltspb.HandOverRequest, coltspb.HandOverReply](
+			httpClient,
+			baseURL+ControlHandOverProcedure,
+			connect.WithSchema(controlMethods.ByName("HandOver")),
+			connect.WithClientOptions(opts...),
+		),
 		routes: connect.NewClient[coltspb.RoutesRequest, coltspb.RoutesReply](
 			httpClient,
 			baseURL+ControlRoutesProcedure,
@@ -213,6 +223,7 @@
 	spend          *connect.Client[coltspb.SpendRequest, coltspb.SpendReply]
 	changeReplicas *connect.Client[coltspb.ChangeReplicasRequest, coltspb.ChangeReplicasReply]
 	join           *connect.Client[coltspb.JoinRequest, coltspb.JoinReply]
+	handOver       *connect.Client[coltspb.HandOverRequest, coltspb.HandOverReply]
 	routes         *connect.Client[coltspb.RoutesRequest, coltspb.RoutesReply]
 	report         *connect.Client[coltspb.ReportRequest, coltspb.ReportReply]
 	watch          *connect.Client[coltspb.WatchRequest, coltspb.WatchReply]
@@ -308,6 +319,15 @@
 	return nil, err
 }
 
+// HandOver calls colts.v1.Control.HandOver.
+func (c *controlClient) HandOver(ctx context.Context, req *coltspb.HandOverRequest) (*coltspb.HandOverReply, error) {
+	response, err := c.handOver.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // Routes calls colts.v1.Control.Routes.
 func (c *controlClient) Routes(ctx context.Context, req *coltspb.RoutesRequest) (*coltspb.RoutesReply, error) {
 	response, err := c.routes.CallUnary(ctx, connect.NewRequest(req))
@@ -357,6 +377,8 @@
 	ChangeReplicas(context.Context, *coltspb.ChangeReplicasRequest) (*coltspb.ChangeReplicasReply, error)
 	// Join asks for a place in a group that forms itself.
 	Join(context.Context, *coltspb.JoinRequest) (*coltspb.JoinReply, error)
+	// HandOver passes the vote of a member that is stopping to a member without one.
+	HandOver(context.Context, *coltspb.HandOverRequest) (*coltspb.HandOverReply, error)
 	// Routes returns the route table that a quorum confirms to be the newest.
 	Routes(context.Context, *coltspb.RoutesRequest) (*coltspb.RoutesReply, error)
 	// Report takes in what an upstream reports of itself.
@@ -433,6 +455,12 @@
 		connect.WithSchema(controlMethods.ByName("Join")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlHandOverHandler := connect.NewUnaryHandlerSimple(
+		ControlHandOverProcedure,
+		svc.HandOver,
+		connect.WithSchema(controlMethods.ByName("HandOver")),
+		connect.WithHandlerOptions(opts...),
+	)
 	controlRoutesHandler := connect.NewUnaryHandlerSimple(
 		ControlRoutesProcedure,
 		svc.Routes,
@@ -473,6 +501,8 @@
 			controlChangeReplicasHandler.ServeHTTP(w, r)
 		case ControlJoinProcedure:
 			controlJoinHandler.ServeHTTP(w, r)
+		case ControlHandOverProcedure:
+			controlHandOverHandler.ServeHTTP(w, r)
 		case ControlRoutesProcedure:
 			controlRoutesHandler.ServeHTTP(w, r)
 		case ControlReportProcedure:
@@ -528,6 +558,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("colts.v1.Control.Join is not implemented"))
 }
 
+func (UnimplementedControlHandler) HandOver(context.Context, *coltspb.HandOverRequest) (*coltspb.HandOverReply, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("colts.v1.Control.HandOver is not implemented"))
+}
+
 func (UnimplementedControlHandler) Routes(context.Context, *coltspb.RoutesRequest) (*coltspb.RoutesReply, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("colts.v1.Control.Routes is not implemented"))
 }
