--- a/coltscontrol/control_disk_test.go
+++ b/coltscontrol/control_disk_test.go
@@ -24,8 +24,15 @@
 
 // startControl starts a group of one instance on a data folder. While failing is true, its syncs fail.
 func startControl(t *testing.T, folder string, failing *atomic.Bool) *Control {
+	t.Helper()
+	return startControlWith(t, folder, failing, coltssettings.Default().Control.JournalBytes)
+}
+
+// startControlWith is like startControl with a bound for the journal.
+func startControlWith(t *testing.T, folder string, failing *atomic.Bool, journalBytes int) *Control {
 	t.Helper()
 	settings := coltssettings.Default()
+	settings.Control.JournalBytes, settings.Control.SegmentBytes = journalBytes, journalBytes/4
 	settings.Control.Addr = netip.MustParseAddrPort("127.0.0.1:0")
 	settings.Control.OperatorAddr = settings.Control.Addr
 	settings.Control.DataFolder = folder
--- a/coltscontrol/driver_snapshot.go
+++ b/coltscontrol/driver_snapshot.go
@@ -36,12 +36,13 @@
 	return s
 }
 
-// snapshotIfDue starts a snapshot if at least SnapshotEvery entries were applied since the last one
-// and their commands have at least as many bytes as the last snapshot. The second condition keeps the
-// bytes written for each command from growing with the state. The state is copied here, between two
-// commands; a worker encodes and writes it.
+// snapshotIfDue starts a snapshot if at least SnapshotEvery entries or JournalBytes of commands were
+// applied since the last one, and their commands have at least as many bytes as the last snapshot. The
+// last condition keeps the bytes written for each command from growing with the state. The state is
+// copied here, between two commands; a worker encodes and writes it.
 func (d *replicaDriver) snapshotIfDue() {
-	if d.savingSnapshot || d.appliedIndex < d.nextSnapshotIndex || d.bytesSinceSnapshot < d.snapshotBytes {
+	isDue := d.appliedIndex >= d.nextSnapshotIndex || d.bytesSinceSnapshot >= d.c.settings.JournalBytes
+	if d.savingSnapshot || !isDue || d.bytesSinceSnapshot < d.snapshotBytes {
 		return
 	}
 	term, known := d.replica.TermAt(d.appliedIndex)
@@ -76,9 +77,7 @@
 	}
 	d.snapshotBytes = s.bytes
 	d.c.metrics.Add(coltsmetric.Snapshots, 1)
-	if s.index > retainedEntries {
-		d.replica.Compact(s.index - retainedEntries)
-	}
+	d.replica.Compact(s.index, coltsreplica.Retention{Entries: retainedEntries, Bytes: d.c.settings.JournalBytes})
 	if err := d.store.checkpoint(s.index, d.hardState, d.replica.RetainedEntries()); err != nil {
 		d.c.log.Error("The journal could not be truncated.", coltslog.Fields{"error": err})
 	}
--- a/coltsreplica/replica.go
+++ b/coltsreplica/replica.go
@@ -381,9 +381,17 @@
 	return n.log.entriesBetween(n.log.baseIndex, n.log.last())
 }
 
-// Compact drops the entries up to an index. A saved snapshot must cover them.
-func (n *Replica) Compact(upTo uint64) {
+// Retention bounds the entries that stay in memory although a snapshot covers them.
+type Retention struct {
+	Entries int
+	// Bytes is the total length of their commands.
+	Bytes int
+}
+
+// Compact drops the entries up to an index but for the newest of them, within the bounds of r. A saved
+// snapshot must cover them.
+func (n *Replica) Compact(upTo uint64, r Retention) {
 	if upTo <= n.deliveredIndex {
-		n.log.compact(upTo)
+		n.log.compact(n.log.retainedFrom(upTo, r))
 	}
 }
--- a/coltsreplica/replica_log.go
+++ b/coltsreplica/replica_log.go
@@ -147,6 +147,19 @@
 	return c
 }
 
+// retainedFrom returns the index before the oldest entry that stays within the bounds of r, counted
+// back from upTo.
+func (l *replicaLog) retainedFrom(upTo uint64, r Retention) uint64 {
+	bytes := 0
+	for index := min(upTo, l.last()); index > l.baseIndex; index-- {
+		bytes += len(l.entries[index-l.baseIndex-1].Data)
+		if upTo-index >= uint64(r.Entries) || bytes > r.Bytes {
+			return index
+		}
+	}
+	return l.baseIndex
+}
+
 // compact drops the entries up to and including an index.
 func (l *replicaLog) compact(upTo uint64) {
 	term, known := l.term(upTo)
--- a/coltsreplica/replica_simulation_test.go
+++ b/coltsreplica/replica_simulation_test.go
@@ -373,7 +373,7 @@
 		Data:          encodeState(m.applied),
 	}
 	m.disk.entries = slices.Clone(m.disk.entries[min(m.appliedIndex-old, uint64(len(m.disk.entries))):])
-	m.replica.Compact(m.appliedIndex)
+	m.replica.Compact(m.appliedIndex, Retention{})
 }
 
 // changeMembership requests a random configuration change from every leader, including a
--- a/coltssettings/settings.go
+++ b/coltssettings/settings.go
@@ -52,6 +52,7 @@
 	InitialDocument string           `json:"initial-document" unit:"path" usage:"document to begin with when the state is empty; empty for none"`
 	SegmentBytes    int              `json:"segment-bytes" unit:"bytes" min:"4096" usage:"size at which a new segment of the journal is begun"`
 	SnapshotEvery   int              `json:"snapshot-every" unit:"commands" min:"1" usage:"least number of commands between two snapshots of the state; there are more between them once the state is larger than the commands since"`
+	JournalBytes    int              `json:"journal-bytes" unit:"bytes" min:"65536" usage:"total size of commands after which a snapshot is taken however few they are, unless the state is larger; also the most that is kept in memory of commands that a snapshot covers"`
 	MaxLoading      int              `json:"max-loading" unit:"runners" min:"1" usage:"runners that are told to load weights at once"`
 	ServiceAddr     netip.AddrPort   `json:"service-address" unit:"address" usage:"where operators put route tables and upstreams report themselves; empty for nowhere"`
 	Seeds           []netip.AddrPort `json:"seeds" unit:"addresses" usage:"hosts of instances through which a group that forms itself is found; their port is that of control/address; empty for a group that replicas lists"`
@@ -138,6 +139,7 @@
 			DataFolder:     "data",
 			SegmentBytes:   64 << 20,
 			SnapshotEvery:  10_000,
+			JournalBytes:   16 << 20,
 			MaxLoading:     3,
 			LoadOrderDelay: 3 * time.Second,
 			SilentAfter:    5 * time.Second,
