Close idle connections to upstreams that have left

Callers saw: after many upstreams had been replaced, a gateway took no connection any more, for lack of descriptors.

Cause: the pool closed idle connections only when their address was asked for again.

Change: idle connections that are over are closed once in 5 s, in the pool of both front ends.

--- a/coltspool/pool.go
+++ b/coltspool/pool.go
@@ -14,6 +14,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -26,6 +27,8 @@
 	idleTimeout = 20 * time.Second
 	// probeAfterIdle is how long a connection may be idle before it is probed.
 	probeAfterIdle = time.Second
+	// sweepPeriod is how often connections that can't be used any more are closed.
+	sweepPeriod = 5 * time.Second
 	// maxIdlePerUpstream bounds the idle connections to one upstream.
 	maxIdlePerUpstream = 256
 	// dialTimeout bounds connecting to an upstream.
@@ -90,6 +93,8 @@
 type Pool struct {
 	cfg    Config
 	shards [coltsshard.Count]poolShard
+	// nextSweepAt is when the connections that can't be used any more are next closed.
+	nextSweepAt atomic.Pointer[time.Time]
 }
 
 type poolShard struct {
@@ -116,6 +121,7 @@
 		cfg.ReadBytes = BufferBytes
 	}
 	p := &Pool{cfg: cfg}
+	p.nextSweepAt.Store(&time.Time{})
 	for i := range p.shards {
 		p.shards[i].idle = map[netip.AddrPort][]*Conn{}
 	}
@@ -157,10 +163,15 @@
 	return c
 }
 
+// isOver reports whether an idle connection can't be used any more.
+func (c *Conn) isOver(now time.Time) bool {
+	return now.Sub(c.idleSince) > idleTimeout || c.mayBeClosing(now) || peerClosed(c.Conn)
+}
+
 // usable reports whether an idle connection still reaches the upstream.
 func (p *Pool) usable(c *Conn, alwaysProbe bool) bool {
 	now := p.cfg.Now()
-	if now.Sub(c.idleSince) > idleTimeout || c.mayBeClosing(now) || peerClosed(c.Conn) {
+	if c.isOver(now) {
 		return false
 	}
 	recent := now.Sub(c.idleSince) < probeAfterIdle && !p.suspected(c)
@@ -286,6 +297,45 @@
 	if full {
 		p.Drop(c)
 	}
+	p.sweepIfDue()
+}
+
+// sweepIfDue closes the idle connections that can't be used any more, once in sweepPeriod. Those to an
+// upstream that has left would otherwise stay open, as nobody asks for that address again.
+func (p *Pool) sweepIfDue() {
+	now, due := p.cfg.Now(), p.nextSweepAt.Load()
+	next := now.Add(sweepPeriod)
+	if now.Before(*due) || !p.nextSweepAt.CompareAndSwap(due, &next) {
+		return
+	}
+	go func() {
+		for i := range p.shards {
+			for _, c := range p.shards[i].removeOver(now) {
+				p.Drop(c)
+			}
+		}
+	}()
+}
+
+// removeOver removes and returns the connections that can't be used any more.
+func (s *poolShard) removeOver(now time.Time) []*Conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var over []*Conn
+	for addr, idle := range s.idle {
+		kept := slices.DeleteFunc(idle, func(c *Conn) bool {
+			if !c.isOver(now) {
+				return false
+			}
+			over = append(over, c)
+			return true
+		})
+		s.idle[addr] = kept
+		if len(kept) == 0 {
+			delete(s.idle, addr)
+		}
+	}
+	return over
 }
 
 // Drop closes a connection, ignoring errors.
