--- a/coltsgateway/caller_conn.go
+++ b/coltsgateway/caller_conn.go
@@ -117,6 +117,8 @@
 	defer fasthttp.ReleaseRequest(req)
 	for c.awaitRequest() {
 		reusable := c.serveOne(req)
+		// An idle connection keeps no body, which would not count in the memory for buffers.
+		req.ResetBody()
 		c.share.Release()
 		c.received = 0
 		if !reusable {
