--- a/coltsgateway/forward_request.go
+++ b/coltsgateway/forward_request.go
@@ -198,7 +198,7 @@
 		return failure
 	}
 	defer x.close()
-	if f.lifecycle.Route.Kind == coltsroute.KindStreaming && x.resp.StatusCode() == fasthttp.StatusOK && mayBeEvents(x.resp) {
+	if f.lifecycle.Route.Kind == coltsroute.KindStreaming && !f.req.Header.IsHead() && x.resp.StatusCode() == fasthttp.StatusOK && mayBeEvents(x.resp) {
 		return f.forwardStream(x)
 	}
 	if f.headSent {
--- a/coltsgateway/forward_stream.go
+++ b/coltsgateway/forward_stream.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"io"
+	"iter"
 	"slices"
 	"strconv"
 
@@ -102,15 +103,37 @@
 // endOfEvents returns the index just behind the last complete event, 0 if there is none.
 func endOfEvents(b []byte) int {
 	end := 0
-	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
-		end = i + 2
-	}
-	if i := bytes.LastIndex(b, []byte("\r\n\r\n")); i >= 0 {
-		end = max(end, i+4)
+	for event := range events(b) {
+		end += len(event)
 	}
 	return end
 }
 
+// events iterates over the complete events in b. An event ends with an empty line, and a line with LF,
+// CR LF or CR.
+func events(b []byte) iter.Seq[[]byte] {
+	return func(yield func([]byte) bool) {
+		start, lineStart := 0, 0
+		for i := 0; i < len(b); i++ {
+			if b[i] != '\n' && b[i] != '\r' {
+				continue
+			}
+			isEmpty := i == lineStart
+			if b[i] == '\r' && i+1 < len(b) && b[i+1] == '\n' {
+				i++
+			}
+			lineStart = i + 1
+			if !isEmpty {
+				continue
+			}
+			if !yield(b[start:lineStart]) {
+				return
+			}
+			start = lineStart
+		}
+	}
+}
+
 // forward sends the first n bytes of the buffer to the caller, and the end of the body if last is
 // set.
 func (s *eventStream) forward(n int, last bool) error {
@@ -176,7 +199,7 @@
 }
 
 // recordEvents records the ID of the newest event that is being sent to the caller.
-func (f *forwarding) recordEvents(events []byte) {
+func (f *forwarding) recordEvents(text []byte) {
 	f.lifecycle.AnswerStarted()
 	f.eventReads++
 	if f.eventReads == beginningReads+1 {
@@ -186,7 +209,7 @@
 	if !f.lifecycle.Route.Resumable {
 		return
 	}
-	for _, event := range bytes.SplitAfter(events, []byte("\n\n")) {
+	for event := range events(text) {
 		if id := f.g.dialect.EventID(event); len(id) > 0 {
 			f.lastEventID = string(id)
 		}
