--- a/coltsreplica/group_simulation_test.go
+++ b/coltsreplica/group_simulation_test.go
@@ -4,7 +4,8 @@
 // rules of coltsmembership: disks are lost, machines are replaced, and processes stall
 // together with their clocks. At most two disks are lost before the group is complete
 // again. No committed entry may be lost, no read may be stale, and the group must become
-// complete again.
+// complete again. A machine that is replaced by plan hands its vote over before it stops, and then two
+// disks may be lost at once.
 
 import (
 	"fmt"
@@ -25,6 +26,10 @@
 	// maxLostDisks is the number of disks that may be lost until the group is complete again.
 	maxLostDisks = 2
 	groupSteps   = 2500
+	// firstSuccessorPort and successorPorts give each successor a port that no other machine has,
+	// however often it moves after that.
+	firstSuccessorPort = 1000
+	successorPorts     = 100
 	// reconfigureEverySteps is the number of steps between two membership checks of a
 	// leader.
 	reconfigureEverySteps = 5
@@ -42,8 +47,13 @@
 	wasComplete       bool
 	// incarnations numbers the IDs that newIdentity returns.
 	incarnations int
-	// disksLost counts all disks lost in the schedule.
-	disksLost int
+	// disksLost counts all disks lost in the schedule, replacements those that were planned.
+	disksLost    int
+	replacements int
+	// successor is the replica that is to replace the one on machine leaving; empty while no
+	// replacement is under way.
+	successor ID
+	leaving   int
 }
 
 // The rules that a schedule can disable.
@@ -95,8 +105,10 @@
 	machine := s.rng.IntN(groupSize)
 	m := s.members[s.machines[machine]]
 	switch {
-	case s.wasComplete && s.lostSinceComplete < maxLostDisks && s.chance(10):
+	case s.wasComplete && s.successor == "" && s.lostSinceComplete < maxLostDisks && s.chance(10):
 		s.loseDisk(machine)
+	case s.wasComplete && s.successor == "" && s.lostSinceComplete == 0 && s.chance(30):
+		s.beginReplacement(machine)
 	case s.chance(2 * s.faultsPerMille):
 		m.paused = !m.paused
 	case m.paused && s.faultFree:
@@ -127,11 +139,39 @@
 	s.disksLost++
 }
 
+// beginReplacement starts the successor of a machine, which is going to stop.
+func (s *groupSimulation) beginReplacement(machine int) {
+	s.addrs[machine] = netip.AddrPortFrom(s.addrs[machine].Addr(), uint16(firstSuccessorPort+successorPorts*s.incarnations))
+	s.successor, s.leaving = s.newIdentity(machine), machine
+	s.start(s.successor, Configuration{})
+}
+
+// endReplacement stops the machine that is being replaced for good, once a leader has committed that it
+// has no vote any more.
+func (s *groupSimulation) endReplacement(leader *member) {
+	if s.successor == "" {
+		return
+	}
+	old, n := s.machines[s.leaving], leader.replica
+	if !n.ConfigurationCommitted() || n.Configuration().IsVoter(old) || !n.Configuration().IsVoter(s.successor) {
+		return
+	}
+	s.order = slices.DeleteFunc(s.order, func(id ID) bool { return id == old })
+	delete(s.members, old)
+	s.machines[s.leaving], s.successor = s.successor, ""
+	s.replacements++
+}
+
+// isLeaving reports whether a replica runs on the machine that is being replaced.
+func (s *groupSimulation) isLeaving(id ID) bool {
+	return s.successor != "" && s.machines[s.leaving] == id
+}
+
 // runLeaders lets every leader read, update the membership and admit new members.
 func (s *groupSimulation) runLeaders(i int) {
 	for _, id := range slices.Clone(s.order) {
-		m := s.members[id]
-		if m.down || m.paused || m.replica.Role() != RoleLeader {
+		m, exists := s.members[id]
+		if !exists || m.down || m.paused || m.replica.Role() != RoleLeader {
 			continue
 		}
 		if s.rng.IntN(10) == 0 {
@@ -140,6 +180,7 @@
 		if i%reconfigureEverySteps == 0 {
 			s.reconfigure(m)
 			s.admitMember(m)
+			s.endReplacement(m)
 		}
 		s.recordIfComplete(m)
 	}
@@ -164,8 +205,11 @@
 	if s.partitioned[leader.id] {
 		return
 	}
-	for _, id := range s.machines {
-		m := s.members[id]
+	for _, id := range append(slices.Clone(s.machines), s.successor) {
+		m, exists := s.members[id]
+		if !exists {
+			continue
+		}
 		if !m.down && !m.paused && !s.partitioned[id] &&
 			!slices.Contains(leader.replica.Configuration().Members(), id) {
 			_ = leader.replica.AddLearner(id)
@@ -178,11 +222,13 @@
 func (s *groupSimulation) reconfigure(leader *member) {
 	n := leader.replica
 	configuration := n.Configuration()
-	members := []coltsmembership.GroupMember{{ID: leader.id, Voter: configuration.IsVoter(leader.id), CaughtUp: true}}
+	members := []coltsmembership.GroupMember{{
+		ID: leader.id, Voter: configuration.IsVoter(leader.id), CaughtUp: true, Leaving: s.isLeaving(leader.id),
+	}}
 	for _, p := range n.Followers() {
 		members = append(members, coltsmembership.GroupMember{
 			ID: p.ID, Voter: configuration.IsVoter(p.ID), HeardAt: p.LastReplyAt,
-			CaughtUp: p.MatchIndex >= n.CommitIndex(),
+			CaughtUp: p.MatchIndex >= n.CommitIndex(), Leaving: s.isLeaving(p.ID),
 		})
 	}
 	group := coltsmembership.Group{Self: leader.id, Voters: coltsmembership.RequiredVoters(maxLostDisks)}
@@ -246,13 +292,16 @@
 }
 
 func TestGroupSimulation(t *testing.T) {
-	disksLost := 0
+	disksLost, replacements := 0, 0
 	for i := range *schedules / 3 {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			disksLost += runGroup(t, seed, "").disksLost
+			s := runGroup(t, seed, "")
+			disksLost += s.disksLost
+			replacements += s.replacements
 		})
 	}
+	assert.Assert(t, replacements > *schedules/6, "only %d machines were replaced by plan", replacements)
 	assert.Assert(t, disksLost > *schedules/6, "only %d disks were lost", disksLost)
 }
 
