--- a/coltscontrol/stores_loop.go
+++ b/coltscontrol/stores_loop.go
@@ -152,8 +152,8 @@
 }
 
 // managedStores returns the managed stores of the current route table, none while there is no table,
-// and whether they are known, which is so only while this instance leads. t caches them, so that each
-// table is decoded once.
+// and whether they are known, which is so only while this instance leads. t caches them, so that each table is
+// decoded once.
 func (c *Control) managedStores(ctx context.Context, t *storeTable) (map[coltsidentity.Service]coltsroute.Store, bool) {
 	encoded := c.routes.Load()
 	if !c.driver.view.Load().isLeader {
