Add the aggregate of evacuated data centres

Callers saw: nothing yet. Operators can't order that nothing more is sent to the upstreams of a data centre.

Change: coltsevacuation.Register holds which data centres are evacuated, since when, and the number of orders that changed something. It is deterministic, so that replicas agree. ChangesBetween tells control and gateways what a newer state begins and ends, also when revisions were skipped.

At most 64 data centres are kept. If all 64 places are taken and one of them has ended, the one that ended longest ago gives way at once, also within a minute of its end: refusing a valid order would be worse than an end time that some gateways take to be later than it was.

--- /dev/null
+++ b/coltsevacuation/evacuation_test.go
@@ -0,0 +1,145 @@
+package coltsevacuation
+
+// Guards against orders that come twice, late or in another sequence and leave replicas or gateways with
+// different states.
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootstall/coltsidentity"
+)
+
+func at(seconds int) time.Time { return time.Unix(1_700_000_000+int64(seconds), 0) }
+
+func start(dc string) Order { return Order{DataCentre: coltsidentity.DataCentre(dc)} }
+func end(dc string) Order   { return Order{DataCentre: coltsidentity.DataCentre(dc), Ends: true} }
+
+// registerAfter returns a register that has taken orders, one each second.
+func registerAfter(t *testing.T, orders ...Order) *Register {
+	t.Helper()
+	r := NewRegister()
+	for i, o := range orders {
+		assert.NilError(t, r.Apply(o, at(i)))
+	}
+	return r
+}
+
+// assertState asserts the revision of a register and its evacuated data centres, separated by spaces.
+func assertState(t *testing.T, r *Register, revision uint64, evacuated string) {
+	t.Helper()
+	s := r.Current()
+	assert.Equal(t, s.Revision, revision)
+	assert.Equal(t, strings.Trim(fmt.Sprint(s.Evacuated()), "[]"), evacuated)
+}
+
+// assertInvalid asserts that a register refuses an order and stays as it is.
+func assertInvalid(t *testing.T, r *Register, o Order) {
+	t.Helper()
+	before := r.Current()
+	var invalid *InvalidError
+	assert.Assert(t, errors.As(r.Apply(o, at(99)), &invalid), "%q", o.DataCentre)
+	assert.DeepEqual(t, r.Current(), before)
+}
+
+// names returns the names of n data centres.
+func names(n int) []string {
+	var all []string
+	for i := range n {
+		all = append(all, fmt.Sprintf("z%02d", i))
+	}
+	return all
+}
+
+func TestRegister(t *testing.T) {
+	t.Run("an order that comes again changes nothing", func(t *testing.T) {
+		assertState(t, registerAfter(t, start("z1"), start("z1")), 1, "z1")
+		assertState(t, registerAfter(t, start("z1"), end("z1"), end("z1")), 2, "")
+	})
+	t.Run("an end before its start changes nothing", func(t *testing.T) {
+		assertState(t, registerAfter(t, end("z1")), 0, "")
+		assertState(t, registerAfter(t, end("z1"), start("z1")), 1, "z1")
+	})
+	t.Run("the newest order of several operators wins, for each data centre by itself", func(t *testing.T) {
+		assertState(t, registerAfter(t, start("z2"), start("z1"), end("z2"), start("z3"), end("z1"), start("z1")), 6, "z1 z3")
+	})
+	t.Run("the time is that of the order that changed something", func(t *testing.T) {
+		r := registerAfter(t, start("z1"), start("z1"))
+		assert.Equal(t, r.Current().Evacuations[0].ChangedAt, at(0))
+	})
+	t.Run("a state that was taken before an order stays as it was", func(t *testing.T) {
+		r := registerAfter(t, start("z1"))
+		before := r.Current()
+		assert.NilError(t, r.Apply(end("z1"), at(1)))
+		assert.Assert(t, !before.Evacuations[0].Ended)
+	})
+	t.Run("an imported state goes on as the exported one", func(t *testing.T) {
+		r := NewRegister()
+		r.Import(registerAfter(t, start("z1"), start("z2"), end("z1")).Current())
+		assertState(t, r, 3, "z2")
+		assert.NilError(t, r.Apply(start("z1"), at(9)))
+		assertState(t, r, 4, "z1 z2")
+	})
+	for _, name := range []string{"", strings.Repeat("z", 129), "z\n", "z\x00", "z\x7f", "z\u0085", "\xff"} {
+		t.Run(fmt.Sprintf("the name %.8q is refused", name), func(t *testing.T) {
+			assertInvalid(t, registerAfter(t, start("z1")), start(name))
+			assertInvalid(t, registerAfter(t, start("z1")), end(name))
+		})
+	}
+}
+
+func TestRegisterLimit(t *testing.T) {
+	r := NewRegister()
+	for i, name := range names(64) {
+		assert.NilError(t, r.Apply(start(name), at(i)))
+	}
+	t.Run("one evacuated data centre more is refused, an end and a repetition are not", func(t *testing.T) {
+		assertInvalid(t, r, start("one more"))
+		assert.NilError(t, r.Apply(start("z05"), at(70)))
+		assert.NilError(t, r.Apply(end("one more"), at(71)))
+		assert.Equal(t, r.Current().Revision, uint64(64))
+	})
+	t.Run("the one that ended longest ago gives way", func(t *testing.T) {
+		assert.NilError(t, r.Apply(end("z09"), at(80)))
+		assert.NilError(t, r.Apply(end("z03"), at(81)))
+		assert.NilError(t, r.Apply(start("one more"), at(82)))
+		_, first := r.Current().find("z09")
+		_, second := r.Current().find("z03")
+		assert.Assert(t, !first && second)
+		assert.Equal(t, len(r.Current().Evacuations), 64)
+	})
+}
+
+// assertChanges asserts the differences between the states of two registers, as texts.
+func assertChanges(t *testing.T, before, after *Register, begun, ended string) {
+	t.Helper()
+	changes := ChangesBetween(before.Current(), after.Current(), at(100))
+	assert.Equal(t, fmt.Sprint(changes.Begun), begun)
+	var texts []string
+	for _, e := range changes.Ended {
+		texts = append(texts, fmt.Sprint(e.DataCentre, "@", e.ChangedAt.Sub(at(0)).Seconds()))
+	}
+	assert.Equal(t, fmt.Sprint(texts), ended)
+}
+
+func TestChangesBetween(t *testing.T) {
+	empty, one := NewRegister(), registerAfter(t, start("z1"))
+	t.Run("begin and end", func(t *testing.T) {
+		assertChanges(t, empty, one, "[z1]", "[]")
+		assertChanges(t, one, one, "[]", "[]")
+		assertChanges(t, one, registerAfter(t, start("z1"), start("z2"), end("z1")), "[z2]", "[z1@2]")
+	})
+	t.Run("an end that was missed, and a second end", func(t *testing.T) {
+		twice := registerAfter(t, start("z1"), end("z1"), start("z1"), end("z1"))
+		assertChanges(t, empty, twice, "[]", "[z1@3]")
+		assertChanges(t, registerAfter(t, start("z1"), end("z1")), twice, "[]", "[z1@3]")
+	})
+	t.Run("an evacuation whose end was dropped ended at the latest possible time", func(t *testing.T) {
+		assertChanges(t, one, registerAfter(t, start("z2"), start("z3")), "[z2 z3]", "[z1@100]")
+	})
+}
