--- a/coltsstate/state_command.go
+++ b/coltsstate/state_command.go
@@ -1,5 +1,5 @@
 // Package coltsstate combines all replicated state into one deterministic state machine:
-// the operators' document, the bookings of calls, usage, routes and weights.
+// the operators' document, the bookings of calls, usage, routes, weights and evacuations.
 //
 // The same commands in the same order produce the same state and the same results in
 // every replica. The time is part of each command.
@@ -13,6 +13,7 @@
 
 	"coltsfootstall/coltsbooking"
 	"coltsfootstall/coltsdocument"
+	"coltsfootstall/coltsevacuation"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltsroute"
 	"coltsfootstall/coltsusage"
@@ -33,6 +34,7 @@
 	CommandUsage
 	CommandRoutes
 	CommandWeights
+	CommandEvacuation
 )
 
 // Command changes the state. Only the field that belongs to Kind is set.
@@ -49,6 +51,8 @@
 	Usage    coltsusage.Batch
 	Routes   coltsroute.EncodedTable
 	Weights  coltsweights.NamedVersion
+	// Evacuation begins or ends the evacuation of a data centre.
+	Evacuation coltsevacuation.Order
 }
 
 // ChangeApproval is an operator's review or acceptance of a change.
--- a/coltsstate/state_machine.go
+++ b/coltsstate/state_machine.go
@@ -8,6 +8,7 @@
 
 	"coltsfootstall/coltsbooking"
 	"coltsfootstall/coltsdocument"
+	"coltsfootstall/coltsevacuation"
 	"coltsfootstall/coltsroute"
 	"coltsfootstall/coltsusage"
 	"coltsfootstall/coltsweights"
@@ -23,6 +24,8 @@
 	Account *coltsusage.Account
 	// Weights holds the weight versions that operators have named.
 	Weights *coltsweights.Register
+	// Evacuations holds the data centres that operators have evacuated.
+	Evacuations *coltsevacuation.Register
 	// routes is the newest routing table, as text. The machine does not parse it.
 	routes coltsroute.EncodedTable
 	// appliedAt is the time of the newest command. A command with an earlier time, from
@@ -33,10 +36,11 @@
 // NewMachine returns a machine with empty state.
 func NewMachine() *Machine {
 	return &Machine{
-		Register: coltsdocument.NewRegister(),
-		Ledger:   coltsbooking.NewLedger(),
-		Account:  coltsusage.NewAccount(),
-		Weights:  coltsweights.NewRegister(),
+		Register:    coltsdocument.NewRegister(),
+		Ledger:      coltsbooking.NewLedger(),
+		Account:     coltsusage.NewAccount(),
+		Weights:     coltsweights.NewRegister(),
+		Evacuations: coltsevacuation.NewRegister(),
 	}
 }
 
@@ -76,6 +80,8 @@
 		c.Weights.NamedAt = now
 		m.Weights.SetNamed(c.Weights)
 		return Result{}
+	case CommandEvacuation:
+		return Result{Err: m.Evacuations.Apply(c.Evacuation, now)}
 	}
 	return Result{}
 }
@@ -114,6 +120,8 @@
 	Sources   []coltsusage.Source
 	Routes    coltsroute.EncodedTable
 	Weights   []coltsweights.NamedVersion
+	// Evacuations is the state of the evacuated data centres.
+	Evacuations coltsevacuation.State
 }
 
 // Export returns the whole state. It must not run concurrently with Apply.
@@ -124,6 +132,7 @@
 	s.Lines, s.Sources = m.Account.Export()
 	s.Routes = m.routes
 	s.Weights, _ = m.Weights.Newest()
+	s.Evacuations = m.Evacuations.Current()
 	return s
 }
 
@@ -135,4 +144,5 @@
 	m.Account.Import(s.Lines, s.Sources)
 	m.routes = s.Routes
 	m.Weights.Import(s.Weights)
+	m.Evacuations.Import(s.Evacuations)
 }
--- a/coltswire/wire_command.go
+++ b/coltswire/wire_command.go
@@ -34,6 +34,8 @@
 		m.Body = &coltspb.Command_Routes{Routes: EncodeRouteTable(c.Routes)}
 	case coltsstate.CommandWeights:
 		m.Body = &coltspb.Command_Weights{Weights: EncodeNamedVersion(c.Weights)}
+	case coltsstate.CommandEvacuation:
+		m.Body = &coltspb.Command_Evacuation{Evacuation: encodeEvacuationOrder(c.Evacuation)}
 	}
 	return m
 }
@@ -71,6 +73,9 @@
 	case *coltspb.Command_Weights:
 		c.Kind = coltsstate.CommandWeights
 		c.Weights = DecodeNamedVersion(body.Weights)
+	case *coltspb.Command_Evacuation:
+		c.Kind = coltsstate.CommandEvacuation
+		c.Evacuation = decodeEvacuationOrder(body.Evacuation)
 	default:
 		return c, errors.Errorf("command of unknown kind %T", body)
 	}
--- a/coltswire/wire_refusal.go
+++ b/coltswire/wire_refusal.go
@@ -9,6 +9,7 @@
 
 	"coltsfootstall/coltsbooking"
 	"coltsfootstall/coltsdocument"
+	"coltsfootstall/coltsevacuation"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltswire/coltspb"
 )
@@ -23,6 +24,7 @@
 	refusalInvalid       = "invalid"
 	refusalKeyReused     = "key-reused"
 	refusalNotHolder     = "not-holder"
+	refusalEvacuation    = "evacuation"
 	refusalOther         = "other"
 )
 
@@ -38,6 +40,10 @@
 	if m := encodeBookingRefusal(err); m != nil {
 		return m
 	}
+	var evacuation *coltsevacuation.InvalidError
+	if errors.As(err, &evacuation) {
+		return &coltspb.Refusal{Kind: refusalEvacuation, Key: string(evacuation.DataCentre), Reason: evacuation.Reason}
+	}
 	return &coltspb.Refusal{Kind: refusalOther, Reason: err.Error()}
 }
 
@@ -135,6 +141,8 @@
 			Key:   decodeKey(m.GetOrganisation(), m.GetKey()),
 			Grant: coltsbooking.GrantNumber(m.GetGrant()),
 		}
+	case refusalEvacuation:
+		return &coltsevacuation.InvalidError{DataCentre: coltsidentity.DataCentre(m.GetKey()), Reason: m.GetReason()}
 	}
 	return errors.New(m.GetReason())
 }
--- a/coltswire/wire_snapshot.go
+++ b/coltswire/wire_snapshot.go
@@ -25,15 +25,16 @@
 		return coltsdocument.ChangeRecord{}, false
 	}
 	b, err := proto.Marshal(&coltspb.Snapshot{
-		AppliedAt: EncodeTime(s.AppliedAt),
-		Document:  EncodeDocument(s.Document, findAccepted),
-		Changes:   convert(s.Changes, EncodeChangeRecord),
-		LastGrant: uint64(s.LastGrant),
-		Bookings:  convert(s.Bookings, EncodeBooking),
-		Lines:     convert(s.Lines, EncodeUsageLine),
-		Sources:   convert(s.Sources, encodeUsageSource),
-		Routes:    EncodeRouteTable(s.Routes),
-		Weights:   convert(s.Weights, EncodeNamedVersion),
+		AppliedAt:   EncodeTime(s.AppliedAt),
+		Document:    EncodeDocument(s.Document, findAccepted),
+		Changes:     convert(s.Changes, EncodeChangeRecord),
+		Evacuations: EncodeEvacuations(s.Evacuations),
+		LastGrant:   uint64(s.LastGrant),
+		Bookings:    convert(s.Bookings, EncodeBooking),
+		Lines:       convert(s.Lines, EncodeUsageLine),
+		Sources:     convert(s.Sources, encodeUsageSource),
+		Routes:      EncodeRouteTable(s.Routes),
+		Weights:     convert(s.Weights, EncodeNamedVersion),
 	})
 	return b, errors.Wrap(err, "marshal snapshot")
 }
@@ -49,14 +50,15 @@
 		return coltsstate.Snapshot{}, errors.Wrap(err, "decode document in snapshot")
 	}
 	s := coltsstate.Snapshot{
-		AppliedAt: DecodeTime(m.GetAppliedAt()),
-		Document:  document,
-		LastGrant: coltsbooking.GrantNumber(m.GetLastGrant()),
-		Bookings:  convert(m.GetBookings(), DecodeBooking),
-		Lines:     convert(m.GetLines(), DecodeUsageLine),
-		Sources:   convert(m.GetSources(), decodeUsageSource),
-		Routes:    DecodeRouteTable(m.GetRoutes()),
-		Weights:   convert(m.GetWeights(), DecodeNamedVersion),
+		AppliedAt:   DecodeTime(m.GetAppliedAt()),
+		Document:    document,
+		Evacuations: DecodeEvacuations(m.GetEvacuations()),
+		LastGrant:   coltsbooking.GrantNumber(m.GetLastGrant()),
+		Bookings:    convert(m.GetBookings(), DecodeBooking),
+		Lines:       convert(m.GetLines(), DecodeUsageLine),
+		Sources:     convert(m.GetSources(), decodeUsageSource),
+		Routes:      DecodeRouteTable(m.GetRoutes()),
+		Weights:     convert(m.GetWeights(), DecodeNamedVersion),
 	}
 	for _, change := range m.GetChanges() {
 		record, err := DecodeChangeRecord(change)
