Take orders of evacuation at control and publish them to gateways

Change: Control.Evacuate commits an order at the leader and returns when it is applied, or the error of the rule that refused it, also from another instance. Each instance publishes the evacuations when it has applied an order and wakes the waiting polls.

The ages are by the clock of the instance that replies: a change that was recorded less than 10 s ago counts from when the instance applied it, an older one, restored from disk, from the recorded time. Control.applyEvacuationEnd is where the end of an evacuation is applied to cold upstreams once these are known. Metric evacuated-data-centres.

--- a/coltscontrol/control.go
+++ b/coltscontrol/control.go
@@ -22,6 +22,7 @@
 	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltsbalance"
 	"coltsfootstall/coltsdocument"
+	"coltsfootstall/coltsevacuation"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslink"
 	"coltsfootstall/coltslog"
@@ -105,9 +106,13 @@
 	poison *coltspoison.Register
 	// routes is the newest route table that this instance has applied.
 	routes atomic.Pointer[coltsroute.EncodedTable]
+	// evacuations is the newest state of the evacuations that this instance has applied, with the
+	// times of its own clock. evacuationTimes is used by the driver's loop only.
+	evacuations     atomic.Pointer[coltsevacuation.State]
+	evacuationTimes coltsevacuation.LocalTimes
 	// seeds are the hosts through which the group is found. A reload replaces them.
 	seeds atomic.Pointer[[]netip.AddrPort]
-	// watchChanged is fired when routes, weights, registry or suspects have changed; it
+	// watchChanged is fired when routes, weights, evacuations, registry or suspects have changed; it
 	// wakes Watch calls.
 	watchChanged *coltsloop.Signal
 
@@ -154,6 +159,7 @@
 	c.weightAges.startedAt = c.started
 	c.registrySource = string(c.id()) + " " + c.started.Format(time.RFC3339Nano)
 	c.routes.Store(&coltsroute.EncodedTable{})
+	c.evacuations.Store(&coltsevacuation.State{})
 	c.seeds.Store(&c.settings.Seeds)
 	if err := c.loadInitialDocument(); err != nil {
 		return nil, err
--- /dev/null
+++ b/coltscontrol/control_evacuation.go
@@ -0,0 +1,93 @@
+package coltscontrol
+
+// Orders to evacuate a data centre go through the replicated log. Each instance publishes the evacuations
+// when it has applied an order, which wakes the waiting polls of its entries.
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"coltsfootstall/coltsevacuation"
+	"coltsfootstall/coltsidentity"
+	"coltsfootstall/coltslog"
+	"coltsfootstall/coltsmetric"
+	"coltsfootstall/coltsstate"
+	"coltsfootstall/coltswire"
+	"coltsfootstall/coltswire/coltspb"
+)
+
+// Evacuate commits an order that begins or ends the evacuation of a data centre. It returns a
+// coltsevacuation.InvalidError, and nothing has changed, if the order can't be carried out.
+func (c *Control) Evacuate(ctx context.Context, o coltsevacuation.Order) error {
+	fields := coltslog.Fields{"data-centre": o.DataCentre, "ends": o.Ends}
+	err := o.Validate()
+	if err == nil {
+		if !c.knowsDataCentre(o.DataCentre) {
+			// Upstreams there may still register, so the order is carried out.
+			c.log.Warn("An order of evacuation names a data centre that no instance or upstream is in.", fields)
+		}
+		err = c.submitAtLeader(ctx, coltsstate.Command{Kind: coltsstate.CommandEvacuation, Evacuation: o})
+	}
+	var invalid *coltsevacuation.InvalidError
+	if errors.As(err, &invalid) {
+		c.log.Info("An order of evacuation was refused.", coltslog.Fields{"data-centre": o.DataCentre, "ends": o.Ends, "reason": err})
+		return err
+	}
+	c.logOutcome("An order of evacuation was submitted.", fields, err)
+	return err
+}
+
+// knowsDataCentre reports whether an upstream or a live instance is in a data centre.
+func (c *Control) knowsDataCentre(dc coltsidentity.DataCentre) bool {
+	entries, _ := c.registry.ChangedSince(0)
+	for _, e := range entries {
+		if e.Upstream.DataCentre == dc {
+			return true
+		}
+	}
+	for _, m := range c.roster.Live(c.cfg.Now()) {
+		if m.DataCentre == dc {
+			return true
+		}
+	}
+	return false
+}
+
+// publishEvacuations publishes the state of the evacuations if it has changed, and reports whether it
+// has. Only the driver's loop may call it.
+func (c *Control) publishEvacuations(now time.Time) bool {
+	before, recorded := *c.evacuations.Load(), c.machine.Evacuations.Current()
+	if recorded.Revision == before.Revision {
+		return false
+	}
+	published := c.evacuationTimes.Translate(recorded, now)
+	c.evacuations.Store(&published)
+	c.metrics.Put(coltsmetric.EvacuatedDataCentres, int64(len(published.Evacuated())))
+	changes := coltsevacuation.ChangesBetween(before, published, now)
+	for _, dc := range changes.Begun {
+		c.log.Info("A data centre is evacuated.", coltslog.Fields{"data-centre": dc, "revision": published.Revision})
+	}
+	for _, e := range changes.Ended {
+		c.applyEvacuationEnd(e.DataCentre, now.Sub(e.ChangedAt))
+	}
+	return true
+}
+
+// applyEvacuationEnd handles the end of an evacuation, which took effect a time ago. It is called once
+// for each end in each process, also for ends that are restored at a start.
+func (c *Control) applyEvacuationEnd(dc coltsidentity.DataCentre, sinceEnd time.Duration) {
+	c.log.Info("The evacuation of a data centre has ended.", coltslog.Fields{"data-centre": dc, "ended-ago-ms": sinceEnd.Milliseconds()})
+}
+
+// addEvacuations adds the evacuations to a reply if they are newer than what the caller has, and reports
+// whether they are.
+func (s *controlServer) addEvacuations(r *coltspb.WatchRequest, reply *coltspb.WatchReply) bool {
+	state := s.c.evacuations.Load()
+	if state.Revision <= r.GetEvacuationsRevision() {
+		return false
+	}
+	reply.Evacuations = coltswire.EncodeEvacuationsWithAges(*state, s.c.cfg.Now())
+	return true
+}
--- a/coltscontrol/control_service.go
+++ b/coltscontrol/control_service.go
@@ -73,14 +73,19 @@
 	c.log.Warn(message, fields)
 }
 
-// submitAtLeader submits a command to the leader, which may be this instance, and retries until it
-// succeeds or ctx ends.
+// submitAtLeader submits a command to the leader, which may be this instance, and retries until it has a
+// result or ctx ends. It returns the error of the rule that refused the command, if one did.
 func (c *Control) submitAtLeader(ctx context.Context, command coltsstate.Command) error {
 	server := &controlServer{c: c}
-	return c.retryUntilLed(ctx, func() error {
-		_, err := server.Submit(ctx, &coltspb.SubmitRequest{Command: coltswire.EncodeCommand(command)})
+	var reply *coltspb.SubmitReply
+	err := c.retryUntilLed(ctx, func() (err error) {
+		reply, err = server.Submit(ctx, &coltspb.SubmitRequest{Command: coltswire.EncodeCommand(command)})
 		return err
 	})
+	if err != nil {
+		return err
+	}
+	return coltswire.DecodeRefusal(reply.GetRefusal())
 }
 
 // retryUntilLed calls fn until it succeeds, ctx ends or the instance shuts down. It retries when the
--- a/coltscontrol/driver_output.go
+++ b/coltscontrol/driver_output.go
@@ -142,7 +142,8 @@
 		d.c.routes.Store(&encoded)
 		d.c.log.Info("A route table is in force.", coltslog.Fields{"version": encoded.Version, "before": published})
 	}
-	if _, revision := d.c.machine.Weights.Newest(); encoded.Version != published || revision != d.publishedWeights {
+	evacuationsChanged := d.c.publishEvacuations(d.c.cfg.Now())
+	if _, revision := d.c.machine.Weights.Newest(); evacuationsChanged || encoded.Version != published || revision != d.publishedWeights {
 		d.publishedWeights = revision
 		d.c.watchChanged.Broadcast()
 	}
--- a/coltscontrol/registry_loop.go
+++ b/coltscontrol/registry_loop.go
@@ -240,6 +240,7 @@
 		}
 		hasChanges = true
 	}
+	hasChanges = s.addEvacuations(r, reply) || hasChanges
 	reply.Controls, reply.Term = s.c.controlAddrs()
 	reply.EntryInstances = int32(s.c.liveEntries())
 	return reply, s.addLeaderState(r, reply, sameSource) || hasChanges
--- a/coltsevacuation/evacuation_test.go
+++ b/coltsevacuation/evacuation_test.go
@@ -143,3 +143,24 @@
 		assertChanges(t, one, registerAfter(t, start("z2"), start("z3")), "[z2 z3]", "[z1@100]")
 	})
 }
+
+// TestLocalTimes guards against an end that counts as long ago because the leader's clock is behind, and
+// against old ends that count as recent after each restart.
+func TestLocalTimes(t *testing.T) {
+	r := registerAfter(t, start("z1"), end("z1"))
+	var l LocalTimes
+	assert.Equal(t, l.Translate(r.Current(), at(5)).Evacuations[0].ChangedAt, at(5))
+	t.Run("a change that was translated keeps its time", func(t *testing.T) {
+		assert.NilError(t, r.Apply(start("z2"), at(3)))
+		s := l.Translate(r.Current(), at(7))
+		assert.Equal(t, s.Evacuations[0].ChangedAt, at(5))
+		assert.Equal(t, s.Evacuations[1].ChangedAt, at(7))
+		assert.Equal(t, s.Revision, uint64(3))
+	})
+	t.Run("a change from a clock that is ahead took effect now", func(t *testing.T) {
+		assert.Equal(t, new(LocalTimes).Translate(r.Current(), at(-20)).Evacuations[0].ChangedAt, at(-20))
+	})
+	t.Run("an old change that is restored keeps the recorded time", func(t *testing.T) {
+		assert.Equal(t, new(LocalTimes).Translate(r.Current(), at(500)).Evacuations[0].ChangedAt, at(1))
+	})
+}
--- a/coltsmetric/metric_table.go
+++ b/coltsmetric/metric_table.go
@@ -57,6 +57,7 @@
 	PartsBlocked           = Metric{"parts-blocked", "parts", "parts of prompts that crash upstreams; prompts with them are refused"}
 	UpstreamsLeft          = Metric{"upstreams-left", "upstreams", "processes of upstreams that said in a response that they are leaving"}
 	Pauses                 = Metric{"pauses", "pauses", "pauses that upstreams asked for"}
+	EvacuatedDataCentres   = Metric{"evacuated-data-centres", "data-centres", "data centres to whose upstreams nothing new is sent, by order of an operator"}
 	LogLinesDropped        = Metric{"log-lines-dropped", "lines", "log lines dropped because their reader was too slow"}
 	Commands               = Metric{"commands", "commands", "commands applied"}
 	JournalSyncs           = Metric{"journal-syncs", "syncs", "syncs of the journal"}
@@ -68,7 +69,7 @@
 	Requests, Refused, RequestsUnderWay, CallerDisconnects, Attempts, Retries, Resumes, WrongRequestIDs, SilentConnections,
 	StreamedParts, TokensComputed, TokensReused, FirstTokenMicros, FirstTokens, Lookups, Exports, ExportsFailed,
 	Announcements, UntrustedAnnouncements, Upstreams, CacheEvents, Grants, Replays, SettleRetries, Revision, LastContactMillis,
-	RoutesVersion, WatchFailures, RefusedNotRun, FailedUnknown, StreamsBroken, RequestsAtHome, Panics, BuffersExhausted, PartsBlocked, UpstreamsLeft, Pauses,
+	RoutesVersion, WatchFailures, RefusedNotRun, FailedUnknown, StreamsBroken, RequestsAtHome, Panics, BuffersExhausted, PartsBlocked, UpstreamsLeft, Pauses, EvacuatedDataCentres,
 	LogLinesDropped,
 	UsageBatches, Commands, JournalSyncs, Snapshots,
 }
