Send nothing to the upstreams of evacuated data centres

Change: the balancer leaves out upstreams in evacuated data centres for each choice, and IsWithdrawn takes back choices that were made before the order.

Callers see: if only upstreams in evacuated data centres could serve a request, it is refused as not run with status 503 and Retry-After 3 to 4 s (EvacuatedError); the refusal's detail in the log names the data centres. While nothing is evacuated, a choice costs one atomic load more for each upstream, and candidates and costs are the same.

--- a/coltsbalance/balance_advice.go
+++ b/coltsbalance/balance_advice.go
@@ -32,8 +32,11 @@
 }
 
 // IsWithdrawn reports whether the upstream of a choice has asked for a pause, or said that it is leaving,
-// since the choice.
+// or its data centre was evacuated, since the choice.
 func (b *Balancer) IsWithdrawn(c Choice, now time.Time) bool {
+	if b.isEvacuated(c.Upstream.DataCentre) {
+		return true
+	}
 	s := &b.shards[coltsshard.Of(c.Upstream.ID)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/coltsbalance/balancer.go
+++ b/coltsbalance/balancer.go
@@ -21,7 +21,9 @@
 	cfg Config
 	// roundRobin counts the choices of the round-robin policy.
 	roundRobin atomic.Uint64
-	shards     [coltsshard.Count]balancerShard
+	// evacuated is nil while no data centre is evacuated.
+	evacuated atomic.Pointer[evacuations]
+	shards    [coltsshard.Count]balancerShard
 }
 
 type balancerShard struct {
@@ -124,8 +126,8 @@
 }
 
 // Choose chooses the upstream for a demand and adds the demand to its load. It returns a
-// NoUpstreamError if the service has no usable upstream, a PausedError if each of them has asked for a
-// pause, and a FullError if none has room.
+// NoUpstreamError if the service has no usable upstream, an EvacuatedError if all of them are in evacuated
+// data centres, a PausedError if each of the others has asked for a pause, and a FullError if none has room.
 func (b *Balancer) Choose(d Demand, now time.Time) (Choice, error) {
 	candidates, known, pausedUntil := b.candidates(d, now)
 	if b.cfg.Policy == PolicyRoundRobin {
@@ -146,6 +148,9 @@
 	if !pausedUntil.IsZero() {
 		return Choice{}, &PausedError{Service: d.Service, Until: pausedUntil}
 	}
+	if err := b.evacuatedError(d, now); err != nil {
+		return Choice{}, err
+	}
 	return Choice{}, &NoUpstreamError{Service: d.Service, Known: known}
 }
 
@@ -164,7 +169,7 @@
 				continue
 			}
 			known++
-			if !u.usable(now) || slices.Contains(d.Exclude, id) || u.weightsVersion(d.Model) < d.MinWeights {
+			if b.isEvacuated(u.record.DataCentre) || !u.usable(now) || slices.Contains(d.Exclude, id) || u.weightsVersion(d.Model) < d.MinWeights {
 				continue
 			}
 			if until := u.advice.PausedUntil(now); !until.IsZero() {
@@ -265,7 +270,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u, known := s.upstreams[id]
-	if !known || !u.usable(now) || !u.advice.Admits(now) {
+	if !known || b.isEvacuated(u.record.DataCentre) || !u.usable(now) || !u.advice.Admits(now) {
 		return Choice{}, false
 	}
 	if u.running == 0 {
--- a/coltsforward/forward_request.go
+++ b/coltsforward/forward_request.go
@@ -47,6 +47,10 @@
 	// upstream yet. After a start of the whole system this takes a leader election and one
 	// reporting interval.
 	retryAfterStart = 2 * time.Second
+	// retryAfterEvacuation is the retry delay if only upstreams in evacuated data centres could serve
+	// a request. Operators evacuate for longer, but callers should come back soon after the end, and
+	// an operator who sees the refusals may revoke the order.
+	retryAfterEvacuation = 3 * time.Second
 )
 
 // retrySpread is the time over which callers that were refused until the same moment come back.
@@ -304,6 +308,10 @@
 		refused.Reason = coltsattempt.ReasonOverloaded
 		refused.RetryAt = pausedErr.Until.Add(rand.N(retrySpread))
 	}
+	var evacuatedErr *coltsbalance.EvacuatedError
+	if errors.As(err, &evacuatedErr) {
+		refused.RetryAt = now.Add(retryAfterEvacuation).Add(rand.N(retrySpread))
+	}
 	var blockedErr *coltspoison.BlockedError
 	if errors.As(err, &blockedErr) {
 		refused.Reason = coltsattempt.ReasonQuarantined
--- a/coltsforward/forward_request_test.go
+++ b/coltsforward/forward_request_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"coltsfootstall/coltsattempt"
+	"coltsfootstall/coltsbalance"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltsroute"
 )
@@ -142,3 +144,19 @@
 		assert.Equal(t, queued(5*time.Second, time.Second), time.Duration(0))
 	})
 }
+
+// TestEvacuatedRefusal guards against callers that give up, or come back at once, while only upstreams in
+// evacuated data centres could serve them.
+func TestEvacuatedRefusal(t *testing.T) {
+	r := mustNewRequest(t, "/book/1")
+	refused := r.NoUpstreamRefusal(&coltsbalance.EvacuatedError{Service: "app", DataCentres: []coltsidentity.DataCentre{"z1"}, Upstreams: 2}, now)
+	t.Run("it has not run and is retried later", func(t *testing.T) {
+		assert.Equal(t, refused.Outcome, coltsattempt.OutcomeNotRun)
+		assert.Equal(t, refused.Reason, coltsattempt.ReasonNoUpstream)
+		wait := refused.RetryAt.Sub(now)
+		assert.Assert(t, wait >= retryAfterEvacuation && wait <= retryAfterEvacuation+retrySpread, "%s", wait)
+	})
+	t.Run("the detail names the data centre", func(t *testing.T) {
+		assert.Assert(t, strings.Contains(refused.Detail, `(2 in "z1")`), refused.Detail)
+	})
+}
--- a/coltsgateway/control_reply.go
+++ b/coltsgateway/control_reply.go
@@ -24,6 +24,9 @@
 		w.connected = true
 		w.g.log.Info("Connected to control.", coltslog.Fields{"asked": addr, "source": reply.GetSource()})
 	}
+	// Before the routes and upstreams, so that a gateway that has just started sends nothing to an
+	// evacuated data centre.
+	w.applyEvacuations(reply, now)
 	w.applyRoutes(reply)
 	if w.source != reply.GetSource() {
 		w.source, w.sourceSince = reply.GetSource(), now
--- a/coltsgateway/control_watch.go
+++ b/coltsgateway/control_watch.go
@@ -15,6 +15,7 @@
 	"connectrpc.com/connect"
 
 	"coltsfootstall/coltsattempt"
+	"coltsfootstall/coltsevacuation"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslink"
 	"coltsfootstall/coltslog"
@@ -60,9 +61,11 @@
 	next     int
 	// source identifies the registry that the revisions refer to, sourceSince is when
 	// the watcher began to follow it, and listed are the upstreams that it has listed.
-	source           string
-	sourceSince      time.Time
-	weightsRevision  uint64
+	source          string
+	sourceSince     time.Time
+	weightsRevision uint64
+	// evacuations is the newest state of the evacuations that was applied.
+	evacuations      coltsevacuation.State
 	registryRevision uint64
 	storePosition    coltsstore.Position
 	listed           map[coltsidentity.Upstream]bool
@@ -155,17 +158,18 @@
 			Started:    w.g.startedAt,
 			Ready:      w.g.isReady(),
 		}),
-		RoutesVersion:    uint64(w.g.routes.Version()),
-		Source:           w.source,
-		WeightsRevision:  w.weightsRevision,
-		RegistryRevision: w.registryRevision,
-		StoreRevision:    w.storePosition.Revision,
-		StoreBase:        w.storePosition.Base,
-		Loads:            coltswire.EncodeLoads(w.g.balancer.Loads(), w.g.now()),
-		Suspects:         coltswire.EncodeSuspects(w.unreportedSuspects()),
-		Fetches:          coltswire.EncodeStoreChanges(w.g.stores.TakeFetches()),
-		Leaving:          coltswire.EncodeProcesses(w.g.balancer.Leaving()),
-		WaitNanos:        int64(longPollWait),
+		RoutesVersion:       uint64(w.g.routes.Version()),
+		Source:              w.source,
+		WeightsRevision:     w.weightsRevision,
+		EvacuationsRevision: w.evacuations.Revision,
+		RegistryRevision:    w.registryRevision,
+		StoreRevision:       w.storePosition.Revision,
+		StoreBase:           w.storePosition.Base,
+		Loads:               coltswire.EncodeLoads(w.g.balancer.Loads(), w.g.now()),
+		Suspects:            coltswire.EncodeSuspects(w.unreportedSuspects()),
+		Fetches:             coltswire.EncodeStoreChanges(w.g.stores.TakeFetches()),
+		Leaving:             coltswire.EncodeProcesses(w.g.balancer.Leaving()),
+		WaitNanos:           int64(longPollWait),
 	}
 	coltswire.AddPoisonReport(request, w.g.poison.TakeReport(w.g.now()), w.g.now())
 	return client.Watch(ctx, request)
--- a/coltsgateway/upstream_advice.go
+++ b/coltsgateway/upstream_advice.go
@@ -43,12 +43,12 @@
 	}
 }
 
-// checkWithdrawn returns a failure if the upstream has asked for a pause, or said that it is leaving, since
-// it was chosen.
+// checkWithdrawn returns a failure if the upstream has asked for a pause, or said that it is leaving, or its
+// data centre was evacuated, since it was chosen.
 func (g *Gateway) checkWithdrawn(choice coltsbalance.Choice) *attemptError {
 	if !g.balancer.IsWithdrawn(choice, g.now()) {
 		return nil
 	}
 	return newAttemptError(coltsattempt.PhaseUnsent, coltsbalance.OutcomeNeutral,
-		"upstream %s is leaving or has asked for a pause meanwhile", choice.Upstream.ID)
+		"upstream %s is leaving, has asked for a pause or is being evacuated meanwhile", choice.Upstream.ID)
 }
