Leave room at runners for requests with stricter goals

Long prompts were sent until a runner was full, and short ones queued behind them.

Cause: the limit for long prompts did not consider what else a service serves. A long prompt whose goal allows it to wait for two of the strictest goals of its service now goes only to runners up to 0.7 full, until it is late. The route table decides which routes can wait; where goals are alike nothing changes.

Test: TestLongPromptsLeaveRoom.

--- a/coltsforward/forward_demand.go
+++ b/coltsforward/forward_demand.go
@@ -37,6 +37,13 @@
 	// requests are sent to the runner. Above 1 they would queue at the runner and evict
 	// cache entries that other requests have fetched.
 	longPromptLimit = 1.0
+	// patientPromptLimit is the same for long requests that can wait and still meet their goal. It
+	// leaves room for requests with stricter goals, which have no limit and are late at a full runner.
+	patientPromptLimit = 0.7
+	// patienceFactor is how many of the strictest goals of its service a request must be able to wait
+	// to count as one that can wait: one for the requests that are being served to end, and one for
+	// those that arrive meanwhile.
+	patienceFactor = 2
 	// lateLongPromptLimit is the same for long requests that can no longer meet the
 	// route's goal. It leaves room for requests of other entry instances that still can.
 	lateLongPromptLimit = 0.4
@@ -52,6 +59,8 @@
 	// CacheDataCentre is the data centre of the cache store for these parts; empty if there
 	// is none.
 	CacheDataCentre coltsidentity.DataCentre
+	// StrictestGoal is the shortest latency goal among the routes of the service.
+	StrictestGoal time.Duration
 	// MinWeights is the lowest weights version that may serve the request; 0 allows any.
 	MinWeights coltsweights.Number
 }
@@ -67,10 +76,7 @@
 	d.Capacity = float64(inputs.Service.Engine.CacheTokens)
 	d.Weight = float64(r.Inbound.PromptTokens + r.Inbound.OutputTokens)
 	if d.Weight > longPromptShare*d.Capacity {
-		d.Limit = longPromptLimit
-		if now.After(r.DispatchDeadline()) {
-			d.Limit = lateLongPromptLimit
-		}
+		d.Limit = r.longPromptLimit(inputs.StrictestGoal, now)
 	}
 	d.PacePenalty = pacePenalty
 	if r.Route.Sticky {
@@ -81,6 +87,23 @@
 	return d
 }
 
+// longPromptLimit returns the load up to which a runner gets the request, which is long.
+func (r *Request) longPromptLimit(strictestGoal time.Duration, now time.Time) float64 {
+	switch {
+	case now.After(r.DispatchDeadline()):
+		return lateLongPromptLimit
+	case r.canWait(strictestGoal):
+		return patientPromptLimit
+	}
+	return longPromptLimit
+}
+
+// canWait reports whether the request meets its goal even if requests of its service with a stricter goal
+// go first for a while.
+func (r *Request) canWait(strictestGoal time.Duration) bool {
+	return strictestGoal > 0 && r.DispatchDeadline().Sub(r.Arrived) >= patienceFactor*strictestGoal
+}
+
 // CacheLookups returns the prompt's shared parts in the form in which they are looked up in the
 // cache stores. scope is the cache scope of their keys.
 func (r *Request) CacheLookups(scope string) []coltsstore.PromptPart {
--- a/coltsforward/forward_demand_test.go
+++ b/coltsforward/forward_demand_test.go
@@ -53,3 +53,33 @@
 		assert.Equal(t, string(d.CacheDataCentre), "z")
 	})
 }
+
+// limitAfter returns the load limit of a long prompt with a latency goal that has waited for a while,
+// before runners whose strictest goal is 400 ms.
+func limitAfter(goal, waited time.Duration) float64 {
+	r := newPrompt(5000)
+	r.Route.LatencyGoal = goal
+	return r.Demand(DemandInputs{
+		Service:       coltsroute.Service{Name: "llm", Engine: &coltsroute.Engine{CacheTokens: 10_000}},
+		StrictestGoal: 400 * time.Millisecond,
+	}, now.Add(waited)).Limit
+}
+
+// Guards against a burst of long prompts with a lenient goal that fills every runner and makes the short
+// prompts, which go to runners at any load, late.
+func TestLongPromptsLeaveRoom(t *testing.T) {
+	t.Run("a long prompt that can wait leaves room", func(t *testing.T) {
+		assert.Equal(t, limitAfter(2*time.Second, 0), patientPromptLimit)
+		assert.Equal(t, limitAfter(2*time.Second, 790*time.Millisecond), patientPromptLimit)
+	})
+	t.Run("a long prompt with a goal of its own kind does not", func(t *testing.T) {
+		assert.Equal(t, limitAfter(600*time.Millisecond, 0), longPromptLimit)
+		assert.Equal(t, limitAfter(1900*time.Millisecond, 0), longPromptLimit)
+	})
+	t.Run("a late long prompt leaves more", func(t *testing.T) {
+		assert.Equal(t, limitAfter(2*time.Second, 810*time.Millisecond), lateLongPromptLimit)
+	})
+	t.Run("without other goals nothing changes", func(t *testing.T) {
+		assert.Equal(t, demandOf(newPrompt(5000), 0).Limit, longPromptLimit)
+	})
+}
--- a/coltsgateway/forward_demand.go
+++ b/coltsgateway/forward_demand.go
@@ -19,6 +19,7 @@
 	inputs := coltsforward.DemandInputs{MinWeights: f.minWeightsVersion()}
 	// A service missing from the table has no upstreams either.
 	inputs.Service, _ = f.table.Service(f.lifecycle.Service)
+	inputs.StrictestGoal = f.table.StrictestGoal(f.lifecycle.Service)
 	if lookups := f.lifecycle.CacheLookups(f.wantedScope()); len(lookups) > 0 {
 		inputs.CachedTokens = f.g.stores.FetchableTokens(lookups, f.g.now())
 		inputs.CacheDataCentre = f.nearDataCentre(lookups)
--- a/coltsroute/route_index.go
+++ b/coltsroute/route_index.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltsshard"
@@ -22,6 +23,8 @@
 	services map[coltsidentity.Service]Service
 	// stores are the services that are KV cache stores, sorted by name.
 	stores []Service
+	// strictestGoals holds the shortest latency goal among the routes of each service.
+	strictestGoals map[coltsidentity.Service]time.Duration
 }
 
 // NewIndex returns the index of a table, which must be valid.
@@ -31,8 +34,11 @@
 		byHost:   map[string][]Route{},
 		byKey:    map[string]Organisation{},
 		services: map[coltsidentity.Service]Service{},
+
+		strictestGoals: map[coltsidentity.Service]time.Duration{},
 	}
 	for _, r := range t.Routes {
+		ix.addGoal(r)
 		name := strings.ToLower(r.HostName)
 		ix.byHost[name] = append(ix.byHost[name], r)
 	}
@@ -54,6 +60,22 @@
 	return ix
 }
 
+// addGoal takes a route's goal into account for the services that it targets.
+func (ix *Index) addGoal(r Route) {
+	for _, t := range r.Targets {
+		known, found := ix.strictestGoals[t.Service]
+		if r.LatencyGoal > 0 && t.Weight > 0 && (!found || r.LatencyGoal < known) {
+			ix.strictestGoals[t.Service] = r.LatencyGoal
+		}
+	}
+}
+
+// StrictestGoal returns the shortest latency goal among the routes that target a service; 0 if none has a
+// goal.
+func (ix *Index) StrictestGoal(name coltsidentity.Service) time.Duration {
+	return ix.strictestGoals[name]
+}
+
 // Match returns the route with the longest matching prefix for a host name, which must
 // not include a port, and a path. It reports false if no route matches.
 func (ix *Index) Match(hostName, path string) (Route, bool) {
