Spread short requests over application servers by averaged loads

Callers of the application services saw one request in five late while other servers had free slots. Every gateway took the server with the least reported load; the reports are 50 to 200 ms old and the requests take 30 to 60 ms, so all gateways sent to the same server in turns.

With gateway/load-estimate averaged, the load that the other instances have is averaged over about a second where load is counted in requests, and the server is drawn at random with a probability that falls with its load.

Ruled out: taking the least averaged load.

--- a/coltsbalance/balance_upstream.go
+++ b/coltsbalance/balance_upstream.go
@@ -177,6 +177,8 @@
 	// peerLoadUntil.
 	peerLoad      float64
 	peerLoadUntil time.Time
+	// peerMean is the moving average of peerLoad.
+	peerMean loadMean
 	// gap is the moving average of the time between events of the streams that this
 	// instance gets from the upstream. It counts until gapUntil.
 	gap      time.Duration
--- a/coltsbalance/balancer.go
+++ b/coltsbalance/balancer.go
@@ -47,6 +47,8 @@
 type Config struct {
 	// Policy is the load-balancing policy; empty means PolicyLeastLoaded.
 	Policy Policy
+	// LoadEstimate says how the load of the other instances is estimated; empty means EstimateNewest.
+	LoadEstimate LoadEstimate
 	// Random returns a random number from 0 to n-1; nil means rand.IntN.
 	Random func(n int) int
 }
@@ -173,7 +175,7 @@
 				}
 				continue
 			}
-			c := candidate{id: id, load: u.totalLoad(now), avoided: u.avoided(now), score: coltsshard.RendezvousScore(d.Affinity, id),
+			c := candidate{id: id, load: b.estimatedLoad(u, d, now), avoided: u.avoided(now), score: coltsshard.RendezvousScore(d.Affinity, id),
 				inCacheDataCentre: d.CacheDataCentre != "" && u.record.DataCentre == d.CacheDataCentre, prefill: u.prefill}
 			if now.Before(u.gapUntil) {
 				c.gap = u.gap
@@ -200,6 +202,9 @@
 	if b.cfg.Policy == PolicyRoundRobin {
 		return int(b.roundRobin.Add(1) % uint64(len(candidates))), false
 	}
+	if b.averages(d) {
+		return b.pickByShare(candidates), false
+	}
 	home := -1
 	if len(d.Affinity) > 0 {
 		for i, c := range candidates {
@@ -349,6 +354,7 @@
 		s := &b.shards[i]
 		s.mu.Lock()
 		for id, u := range s.upstreams {
+			u.peerMean.add(amounts[id], now)
 			u.peerLoad, u.peerLoadUntil = amounts[id], now.Add(peerLoadTTL)
 		}
 		s.mu.Unlock()
