Read from heartbeats and route tables which upstreams are cold

Runners that have just started crash at a rate of requests that they bear when they are warm. Their heartbeats say for how long they are cold (coldLeftMs), and the route table how long that takes and what they bear (coldS, coldPerS); nothing read these fields.

The registry keeps a deadline by its own clock, sent between instances as the time left. A process that says nothing is cold for the service's time from its start; a restart under a known ID counts from its first report, because clocks differ. A move of the deadline by up to 250 ms is no change, as reports arrive at different delays. The file of the registry counts the time left from when it was written. For services without both fields the deadline is dropped where the heartbeat arrives, so no message grows.

Callers see no difference yet: no choice depends on the deadline.

Checks: go test ./coltsregistry ./coltsroute, and TestCold* of ./platform, passed.

--- a/coltscontrol/control_service.go
+++ b/coltscontrol/control_service.go
@@ -152,10 +152,13 @@
 // ReportUpstream registers an upstream or updates its entry from its own report. It returns the
 // address of the leader, whose registry is the authoritative one.
 func (c *Control) ReportUpstream(ctx context.Context, u coltsregistry.Upstream) (netip.Addr, error) {
+	if !c.registry.LimitsCold(u.Service) {
+		u.ColdUntil = time.Time{}
+	}
 	server := &controlServer{c: c}
 	var reply *coltspb.ReportReply
 	err := c.retryUntilLed(ctx, func() (err error) {
-		reply, err = server.Report(ctx, &coltspb.ReportRequest{Upstream: coltswire.EncodeReportedUpstream(u)})
+		reply, err = server.Report(ctx, &coltspb.ReportRequest{Upstream: coltswire.EncodeReportedUpstream(u, c.cfg.Now())})
 		return err
 	})
 	if err != nil {
@@ -174,7 +177,7 @@
 	server := &controlServer{c: c}
 	return c.retryUntilLed(ctx, func() error {
 		_, err := server.Report(ctx, &coltspb.ReportRequest{
-			Upstream: coltswire.EncodeReportedUpstream(coltsregistry.Upstream{ID: id, StartedAt: startedAt}),
+			Upstream: coltswire.EncodeReportedUpstream(coltsregistry.Upstream{ID: id, StartedAt: startedAt}, c.cfg.Now()),
 			Leaving:  true,
 		})
 		return err
--- a/coltscontrol/registry_file.go
+++ b/coltscontrol/registry_file.go
@@ -38,7 +38,7 @@
 			return
 		}
 		entries, revision := c.registry.ChangedSince(0)
-		content, err := proto.Marshal(&coltspb.WatchReply{Entries: coltswire.EncodeRegistryEntries(entries)})
+		content, err := proto.Marshal(&coltspb.WatchReply{Entries: coltswire.EncodeRegistryEntries(entries, c.cfg.Now())})
 		if err == nil {
 			cfg := coltsjournal.Config{Dir: c.settings.DataFolder, Sync: c.cfg.Sync}
 			err = coltsjournal.WriteFileAtomic(cfg, registryFile, content)
@@ -56,13 +56,13 @@
 
 // loadRegistry restores the registry that was saved. Without a usable file the registry stays empty.
 func (c *Control) loadRegistry() {
-	entries, err := readRegistry(c.settings.DataFolder)
+	entries, savedAt, err := readRegistry(c.settings.DataFolder)
 	if err != nil {
 		c.log.Warn("The saved registry of upstreams can't be used.", coltslog.Fields{"error": err})
 		return
 	}
 	now := c.cfg.Now()
-	for _, e := range coltswire.DecodeRegistryEntries(entries) {
+	for _, e := range coltswire.DecodeRegistryEntries(entries, savedAt) {
 		c.registry.Mirror(e, now)
 	}
 	if len(entries) > 0 {
@@ -70,23 +70,29 @@
 	}
 }
 
-// readRegistry reads the saved entries; none if there is no file.
-func readRegistry(dir string) ([]*coltspb.RegistryEntry, error) {
-	content, err := os.ReadFile(filepath.Join(dir, registryFile))
+// readRegistry reads the saved entries and when they were saved, from which the remaining times in
+// them count. It returns none if there is no file.
+func readRegistry(dir string) ([]*coltspb.RegistryEntry, time.Time, error) {
+	path := filepath.Join(dir, registryFile)
+	content, err := os.ReadFile(path)
 	if os.IsNotExist(err) {
-		return nil, nil
+		return nil, time.Time{}, nil
 	}
 	if err != nil {
-		return nil, errors.Wrap(err, "read upstreams")
+		return nil, time.Time{}, errors.Wrap(err, "read upstreams")
+	}
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, time.Time{}, errors.Wrap(err, "read upstreams")
 	}
 	var reply coltspb.WatchReply
 	if err := proto.Unmarshal(content, &reply); err != nil {
-		return nil, errors.Wrap(err, "decode upstreams")
+		return nil, time.Time{}, errors.Wrap(err, "decode upstreams")
 	}
 	for _, e := range reply.GetEntries() {
-		if !coltswire.DecodeReportedUpstream(e.GetUpstream()).Addr.IsValid() {
-			return nil, errors.New("decode upstreams: an address is invalid")
+		if !coltswire.DecodeReportedUpstream(e.GetUpstream(), info.ModTime()).Addr.IsValid() {
+			return nil, time.Time{}, errors.New("decode upstreams: an address is invalid")
 		}
 	}
-	return reply.GetEntries(), nil
+	return reply.GetEntries(), info.ModTime(), nil
 }
--- a/coltscontrol/registry_loop.go
+++ b/coltscontrol/registry_loop.go
@@ -116,8 +116,9 @@
 	m.source, m.revision = reply.GetSource(), reply.GetRegistryRevision()
 	m.c.catalogue.Mirror(coltswire.DecodeStoreOffers(reply.GetStoreOffers()))
 	changed := false
-	for _, e := range coltswire.DecodeRegistryEntries(reply.GetEntries()) {
-		changed = m.c.registry.Mirror(e, m.c.cfg.Now()) || changed
+	now := m.c.cfg.Now()
+	for _, e := range coltswire.DecodeRegistryEntries(reply.GetEntries(), now) {
+		changed = m.c.registry.Mirror(e, now) || changed
 	}
 	if changed {
 		m.c.watchChanged.Broadcast()
@@ -136,8 +137,8 @@
 		r.Forwarded = true
 		return leader.Report(ctx, r)
 	}
-	u := coltswire.DecodeReportedUpstream(r.GetUpstream())
 	now := s.c.cfg.Now()
+	u := coltswire.DecodeReportedUpstream(r.GetUpstream(), now)
 	changed := false
 	if r.GetLeaving() {
 		changed = s.c.registry.Leave(u.ID, u.StartedAt, now)
@@ -220,7 +221,7 @@
 		after = r.GetRegistryRevision()
 	}
 	entries, revision := s.c.registry.ChangedSince(after)
-	reply.Entries, reply.RegistryRevision, reply.Whole = coltswire.EncodeRegistryEntries(entries), revision, !sameSource
+	reply.Entries, reply.RegistryRevision, reply.Whole = coltswire.EncodeRegistryEntries(entries, s.c.cfg.Now()), revision, !sameSource
 	hasChanges := !sameSource || len(entries) > 0
 	if r.GetRegistryOnly() {
 		s.addStoreOffers(reply)
--- a/coltsgateway/control_reply.go
+++ b/coltsgateway/control_reply.go
@@ -138,7 +138,7 @@
 // registry are forgotten only once it has been followed for forgetGrace, which gives each of them
 // time to report to it.
 func (w *controlWatcher) applyRegistryEntries(reply *coltspb.WatchReply, now time.Time) {
-	for _, e := range coltswire.DecodeRegistryEntries(reply.GetEntries()) {
+	for _, e := range coltswire.DecodeRegistryEntries(reply.GetEntries(), now) {
 		w.listed[e.Upstream.ID] = true
 		w.g.balancer.Update(e)
 		w.g.log.Info("An upstream changed.", coltslog.Fields{
--- a/coltsregistry/registry.go
+++ b/coltsregistry/registry.go
@@ -39,6 +39,7 @@
 	revision atomic.Uint64
 	shards   [coltsshard.Count]entryShard
 	owners   [coltsshard.Count]ownerShard
+	warmup   warmup
 
 	sweepMu   sync.Mutex
 	lastSweep time.Time
@@ -81,6 +82,12 @@
 // entry. It returns a StaleError if the report is out of date, and an InvalidError if it can't be
 // true.
 func (r *Registry) Report(u Upstream, now time.Time) (bool, error) {
+	return r.report(u, now, r.coldUntil)
+}
+
+// report applies a report. coldUntil returns until when its process is cold, given the known one of the
+// same ID, nil for none.
+func (r *Registry) report(u Upstream, now time.Time, coldUntil func(u Upstream, known *Upstream, now time.Time) time.Time) (bool, error) {
 	if err := u.Validate(now); err != nil {
 		return false, err
 	}
@@ -101,8 +108,15 @@
 		}
 		u.Weights = u.mergeWeights(rec.entry.Upstream)
 		u.State = u.mergeState(rec.entry.Upstream)
+		u.ColdUntil = coldUntil(u, &rec.entry.Upstream, now)
+	} else {
+		u.ColdUntil = coldUntil(u, nil, now)
+	}
+	changed := !known || rec.entry.changedBy(u, now)
+	if !changed {
+		u.ColdUntil = rec.entry.Upstream.ColdUntil
 	}
-	changed := !known || rec.entry.changedBy(u)
+	r.warmup.extend(u.ColdUntil)
 	if known && !rec.entry.Upstream.StartedAt.Equal(u.StartedAt) {
 		rec.entry.Loading = false
 	}
@@ -336,7 +350,7 @@
 
 // Mirror applies an entry of another registry and reports whether it changed this one.
 func (r *Registry) Mirror(e Entry, now time.Time) bool {
-	changed, err := r.Report(e.Upstream, now)
+	changed, err := r.report(e.Upstream, now, mirroredColdUntil)
 	if err != nil {
 		return false
 	}
--- a/coltsregistry/registry_upstream.go
+++ b/coltsregistry/registry_upstream.go
@@ -65,6 +65,9 @@
 	StartedAt time.Time
 	// Sequence increases with each report of the same process.
 	Sequence uint64
+	// ColdUntil is until when it tolerates few requests; zero if it has not said. It is kept only for
+	// services that limit requests to cold processes.
+	ColdUntil time.Time
 }
 
 const (
@@ -156,11 +159,12 @@
 	Revision uint64
 }
 
-// changedBy reports whether a report changes the entry.
-func (e Entry) changedBy(u Upstream) bool {
+// changedBy reports whether a report that arrives at now changes the entry.
+func (e Entry) changedBy(u Upstream, now time.Time) bool {
 	known := e.Upstream
 	return e.Silent || known.State != u.State || known.Addr != u.Addr || known.Service != u.Service ||
-		known.Slots != u.Slots || !known.StartedAt.Equal(u.StartedAt) || !slices.Equal(known.Weights, u.Weights)
+		known.Slots != u.Slots || !known.StartedAt.Equal(u.StartedAt) || !slices.Equal(known.Weights, u.Weights) ||
+		coldChanged(known.ColdUntil, u.ColdUntil, now)
 }
 
 // StaleError is returned for a report that is older than what the registry knows.
--- a/coltsroute/route_table.go
+++ b/coltsroute/route_table.go
@@ -87,18 +87,37 @@
 	Weight int
 }
 
+// ColdDurations returns how long the processes of each service are cold after their start. Services
+// that don't limit requests to cold processes are missing.
+func (t Table) ColdDurations() map[coltsidentity.Service]time.Duration {
+	durations := map[coltsidentity.Service]time.Duration{}
+	for _, s := range t.Services {
+		if s.LimitsCold() {
+			durations[s.Name] = s.ColdDuration
+		}
+	}
+	return durations
+}
+
 // Service is a set of interchangeable upstreams.
 type Service struct {
 	Name       coltsidentity.Service
 	HealthPath string
 	// MaxConnections is the number of connections that one upstream accepts in total.
 	MaxConnections int
+	// ColdDuration is how long a process is cold after its start, and ColdRate the number of
+	// requests a second that it tolerates while it is. Nothing is limited unless both are positive.
+	ColdDuration time.Duration
+	ColdRate     float64
 	// Engine is nil unless the upstreams are model runners.
 	Engine *Engine
 	// Store is nil unless the service is a KV cache store.
 	Store *Store
 }
 
+// LimitsCold reports whether requests to cold processes are limited.
+func (s Service) LimitsCold() bool { return s.ColdDuration > 0 && s.ColdRate > 0 }
+
 // Engine describes the model runners of a service.
 type Engine struct {
 	// Slots is the number of requests that a runner processes concurrently.
--- a/coltswire/wire_registry.go
+++ b/coltswire/wire_registry.go
@@ -4,6 +4,8 @@
 // versions and the registry of upstreams with the other instances.
 
 import (
+	"time"
+
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltsregistry"
 	"coltsfootstall/coltsroute"
@@ -57,9 +59,9 @@
 	})
 }
 
-// EncodeReportedUpstream returns the protobuf message for an upstream's report about
+// EncodeReportedUpstream returns the protobuf message, sent at now, for an upstream's report about
 // itself.
-func EncodeReportedUpstream(u coltsregistry.Upstream) *coltspb.ReportedUpstream {
+func EncodeReportedUpstream(u coltsregistry.Upstream, now time.Time) *coltspb.ReportedUpstream {
 	return &coltspb.ReportedUpstream{
 		Id:         string(u.ID),
 		Service:    string(u.Service),
@@ -70,11 +72,33 @@
 		Weights:    convert(u.Weights, encodeWeights),
 		Born:       EncodeTime(u.StartedAt),
 		Sequence:   u.Sequence,
+		ColdNanos:  encodeColdUntil(u.ColdUntil, now),
+	}
+}
+
+// encodeColdUntil returns for how much longer than now an upstream is cold. It is negative if the
+// upstream has said that it is not, and 0 if it has said nothing.
+func encodeColdUntil(until, now time.Time) int64 {
+	if until.IsZero() {
+		return 0
+	}
+	if left := until.Sub(now); left != 0 {
+		return int64(left)
+	}
+	return -1
+}
+
+// decodeColdUntil is the inverse of encodeColdUntil.
+func decodeColdUntil(n int64, now time.Time) time.Time {
+	if n == 0 {
+		return time.Time{}
 	}
+	return now.Add(time.Duration(n))
 }
 
-// DecodeReportedUpstream returns the upstream's report held in a protobuf message.
-func DecodeReportedUpstream(m *coltspb.ReportedUpstream) coltsregistry.Upstream {
+// DecodeReportedUpstream returns the upstream's report held in a protobuf message that was received
+// at now.
+func DecodeReportedUpstream(m *coltspb.ReportedUpstream, now time.Time) coltsregistry.Upstream {
 	return coltsregistry.Upstream{
 		ID:         coltsidentity.Upstream(m.GetId()),
 		Service:    coltsidentity.Service(m.GetService()),
@@ -85,20 +109,25 @@
 		Weights:    convert(m.GetWeights(), decodeWeights),
 		StartedAt:  DecodeTime(m.GetBorn()),
 		Sequence:   m.GetSequence(),
+		ColdUntil:  decodeColdUntil(m.GetColdNanos(), now),
 	}
 }
 
-// EncodeRegistryEntries returns the protobuf messages for registry entries.
-func EncodeRegistryEntries(entries []coltsregistry.Entry) []*coltspb.RegistryEntry {
+// EncodeRegistryEntries returns the protobuf messages, sent at now, for registry entries. They don't tell
+// that an upstream is warm from that it has not said whether it is cold.
+func EncodeRegistryEntries(entries []coltsregistry.Entry, now time.Time) []*coltspb.RegistryEntry {
 	return convert(entries, func(e coltsregistry.Entry) *coltspb.RegistryEntry {
-		return &coltspb.RegistryEntry{Upstream: EncodeReportedUpstream(e.Upstream), Silent: e.Silent, Loading: e.Loading}
+		upstream := EncodeReportedUpstream(e.Upstream, now)
+		upstream.ColdNanos = max(0, upstream.ColdNanos)
+		return &coltspb.RegistryEntry{Upstream: upstream, Silent: e.Silent, Loading: e.Loading}
 	})
 }
 
-// DecodeRegistryEntries returns the registry entries held in protobuf messages.
-func DecodeRegistryEntries(messages []*coltspb.RegistryEntry) []coltsregistry.Entry {
+// DecodeRegistryEntries returns the registry entries held in protobuf messages that were received at
+// now.
+func DecodeRegistryEntries(messages []*coltspb.RegistryEntry, now time.Time) []coltsregistry.Entry {
 	return convert(messages, func(m *coltspb.RegistryEntry) coltsregistry.Entry {
-		return coltsregistry.Entry{Upstream: DecodeReportedUpstream(m.GetUpstream()), Silent: m.GetSilent(), Loading: m.GetLoading()}
+		return coltsregistry.Entry{Upstream: DecodeReportedUpstream(m.GetUpstream(), now), Silent: m.GetSilent(), Loading: m.GetLoading()}
 	})
 }
 
