--- a/coltsstructure/structure_test.go
+++ b/coltsstructure/structure_test.go
@@ -26,7 +26,7 @@
 	"coltsattempt", "coltsbalance", "coltsbooking", "coltscache", "coltsdocument", "coltsfleet", "coltsforward",
 	"coltsidentity", "coltsmembership", "coltsobjective", "coltsorder", "coltsorganisation", "coltsregistry",
 	"coltsreplica", "coltsrequest", "coltsroute", "coltsrouting", "coltsshard", "coltsstate", "coltsstore",
-	"coltsusage", "coltsweights",
+	"coltsusage", "coltswarmup", "coltsweights",
 }
 
 // adapterImports lists the packages that only adapters may depend on: libraries for
