Send cold upstreams only requests with a permit

An upstream that has just returned is empty, so each gateway sent it its next requests; together they were many times what it bears while it is cold, and it crashed again.

The leader adds permits to its replies to gateways, at the moment a reply is sent. The balancer leaves out cold upstreams for which it has no permit, a choice takes one, and its deadline is checked once more before the first byte. A permitted request goes to a cold upstream only if the warm ones that are compared have half of a capacity more load, because it is slow, and not for its cached prompts, because it has none. If all usable upstreams are cold, requests wait as for room.

New settings control/cold-excess and control/cold-slack, set from the platform's bounds; new metrics cold-upstreams, cold-permits and cold-waits. Services without both fields of the route table have the same candidates, costs and messages as before.

--- a/coltsbalance/balance_advice.go
+++ b/coltsbalance/balance_advice.go
@@ -32,13 +32,13 @@
 }
 
 // IsWithdrawn reports whether the upstream of a choice has asked for a pause, or said that it is leaving,
-// since the choice.
+// since the choice, or is cold and the permit of the choice has expired.
 func (b *Balancer) IsWithdrawn(c Choice, now time.Time) bool {
 	s := &b.shards[coltsshard.Of(c.Upstream.ID)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u, known := s.upstreams[c.Upstream.ID]
-	return known && u.advice.Withdraws(c.Trial, now)
+	return known && (u.advice.Withdraws(c.Trial, now) || b.withdrawsPermit(u, c, now))
 }
 
 // Leaving returns the processes that have said to this instance that they are leaving, and that control
--- a/coltsbalance/balance_upstream.go
+++ b/coltsbalance/balance_upstream.go
@@ -84,6 +84,9 @@
 	Load float64
 	// Trial reports whether the request is the first one to the upstream after a pause.
 	Trial bool
+	// PermitUntil is until when the request may be sent to an upstream that is cold; zero if it was
+	// warm when it was chosen.
+	PermitUntil time.Time
 	// Home reports whether the upstream is the home of the demand's affinity key.
 	Home bool
 }
@@ -146,10 +149,15 @@
 	Load float64
 	// Waiting is the number of requests queued for the service.
 	Waiting int
+	// Cold reports whether the upstreams that could be chosen are cold and there is no permit for them.
+	Cold bool
 }
 
 // Error returns the service, the load and the length of the queue.
 func (e *FullError) Error() string {
+	if e.Cold {
+		return fmt.Sprintf("service %q has no room: its usable upstreams are cold and get few requests", e.Service)
+	}
 	return fmt.Sprintf("service %q has no room: least loaded upstream would be at %.2f of capacity, %d requests queued",
 		e.Service, e.Load, e.Waiting)
 }
@@ -171,6 +179,7 @@
 	// waitingSince is since when it has been waiting for one.
 	heardAt      time.Time
 	waitingSince time.Time
+	warmup       warmup
 	// prefill is the part of load whose prompts are not prefilled yet.
 	prefill float64
 	// peerLoad is the load that the other instances have there. It counts until
--- /dev/null
+++ b/coltsbalance/balance_warmup.go
@@ -0,0 +1,153 @@
+package coltsbalance
+
+// Upstreams that are cold get only requests for which control has dealt this instance a permit. coltswarmup
+// holds the rules. Only services that limit requests to cold processes are concerned; for the others, the
+// balancer chooses as if no upstream were ever cold.
+
+import (
+	"slices"
+	"time"
+
+	"coltsfootstall/coltsidentity"
+	"coltsfootstall/coltsregistry"
+	"coltsfootstall/coltsshard"
+	"coltsfootstall/coltswarmup"
+)
+
+// coldCost is added to the cost of a cold upstream, as a share of its capacity. A cold upstream is empty but slow: by
+// its load alone it would be chosen over every warm one. So it is used only if the warm ones have half of a
+// capacity more load, when a slow answer is better than waiting for them. How slow it is, no report says.
+const coldCost = 0.5
+
+// warmup is what the balancer knows about an upstream that is cold.
+type warmup struct {
+	permits coltswarmup.Permits
+	// markedUntil is until when the upstream counts as cold because its data centre was marked.
+	markedUntil time.Time
+}
+
+// SetColdDurations sets how long processes are cold after their start, for each service that limits requests
+// to cold processes. The caller must not modify the map afterwards.
+func (b *Balancer) SetColdDurations(durations map[coltsidentity.Service]time.Duration) {
+	b.coldDurations.Store(&durations)
+}
+
+// coldDuration returns how long a service's processes are cold after their start, and whether requests to
+// them are limited.
+func (b *Balancer) coldDuration(service coltsidentity.Service) (time.Duration, bool) {
+	durations := b.coldDurations.Load()
+	if durations == nil {
+		return 0, false
+	}
+	d, limited := (*durations)[service]
+	return d, limited
+}
+
+// isCold reports whether an upstream gets only requests with a permit.
+func (b *Balancer) isCold(u *upstream, now time.Time) bool {
+	if !u.record.IsCold(now) && !now.Before(u.warmup.markedUntil) {
+		return false
+	}
+	_, limited := b.coldDuration(u.record.Service)
+	return limited
+}
+
+// lacksPermit reports whether an upstream is passed over because this instance has no permit for it.
+func (b *Balancer) lacksPermit(u *upstream, now time.Time) bool {
+	return b.isCold(u, now) && !u.warmup.permits.Available(now)
+}
+
+// takePermit takes a permit if the upstream is cold, and reports whether a request may be sent to it. The
+// time is until when, zero for no limit.
+func (b *Balancer) takePermit(u *upstream, now time.Time) (time.Time, bool) {
+	if !b.isCold(u, now) {
+		return time.Time{}, true
+	}
+	until := u.warmup.permits.Take(now)
+	return until, !until.IsZero()
+}
+
+// withdrawsPermit reports whether the upstream of a choice is cold and the choice has no permit for its
+// process, or no longer.
+func (b *Balancer) withdrawsPermit(u *upstream, c Choice, now time.Time) bool {
+	return b.isCold(u, now) && (!now.Before(c.PermitUntil) || !u.record.SameProcess(c.Upstream))
+}
+
+// awaitsPermit reports whether a demand could be sent to a cold upstream if there were a permit.
+func (b *Balancer) awaitsPermit(d Demand, now time.Time) bool {
+	if _, limited := b.coldDuration(d.Service); !limited {
+		return false
+	}
+	for i := range b.shards {
+		s := &b.shards[i]
+		s.mu.Lock()
+		for id, u := range s.upstreams {
+			if u.record.Service == d.Service && b.lacksPermit(u, now) && u.usable(now) && !slices.Contains(d.Exclude, id) &&
+				u.weightsVersion(d.Model) >= d.MinWeights {
+				s.mu.Unlock()
+				return true
+			}
+		}
+		s.mu.Unlock()
+	}
+	return false
+}
+
+// update prepares for a new record of the upstream. Permits belong to one process. A record with a deadline
+// was made by a control instance that knows of the mark or has heard of a later cold time.
+func (w *warmup) update(known, record coltsregistry.Upstream) {
+	if !record.SameProcess(known) {
+		*w = warmup{}
+	}
+	if !record.ColdUntil.IsZero() {
+		w.markedUntil = time.Time{}
+	}
+}
+
+// SetPermits sets the permits that control has dealt to this instance. Those for other processes stay as they are until
+// they expire.
+func (b *Balancer) SetPermits(permits []coltswarmup.Permit) {
+	for _, p := range permits {
+		s := &b.shards[coltsshard.Of(p.Process.ID)]
+		s.mu.Lock()
+		if u, known := s.upstreams[p.Process.ID]; known && u.record.StartedAt.Equal(p.Process.StartedAt) {
+			u.warmup.permits.Replace(p)
+		}
+		s.mu.Unlock()
+	}
+}
+
+// MarkCold records that all upstreams of a data centre may have become cold as late as since: where
+// their service limits requests to cold processes, they are cold for as long as after a start, unless control
+// says otherwise later.
+func (b *Balancer) MarkCold(dataCentre coltsidentity.DataCentre, since time.Time) {
+	for i := range b.shards {
+		s := &b.shards[i]
+		s.mu.Lock()
+		for _, u := range s.upstreams {
+			if d, limited := b.coldDuration(u.record.Service); limited && u.record.DataCentre == dataCentre {
+				u.warmup.markedUntil = since.Add(d)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// ColdWaits returns the number of choices that passed over a cold upstream for lack of a permit.
+func (b *Balancer) ColdWaits() int64 { return b.coldWaits.Load() }
+
+// ColdUpstreams returns the number of upstreams that are cold.
+func (b *Balancer) ColdUpstreams(now time.Time) int {
+	n := 0
+	for i := range b.shards {
+		s := &b.shards[i]
+		s.mu.Lock()
+		for _, u := range s.upstreams {
+			if b.isCold(u, now) && u.usable(now) {
+				n++
+			}
+		}
+		s.mu.Unlock()
+	}
+	return n
+}
--- a/coltsbalance/balancer.go
+++ b/coltsbalance/balancer.go
@@ -21,7 +21,10 @@
 	cfg Config
 	// roundRobin counts the choices of the round-robin policy.
 	roundRobin atomic.Uint64
-	shards     [coltsshard.Count]balancerShard
+	// coldDurations holds how long processes are cold after their start, by service; nil until it is set.
+	coldDurations atomic.Pointer[map[coltsidentity.Service]time.Duration]
+	coldWaits     atomic.Int64
+	shards        [coltsshard.Count]balancerShard
 }
 
 type balancerShard struct {
@@ -85,6 +88,7 @@
 		u.failures, u.backoffUntil = 0, time.Time{}
 	}
 	u.advice.Restart(e.Upstream.StartedAt)
+	u.warmup.update(u.record, e.Upstream)
 	u.record, u.silent, u.loading = e.Upstream, e.Silent, e.Loading
 }
 
@@ -109,6 +113,8 @@
 	// load is the known load of all instances.
 	load    float64
 	avoided bool
+	// cold reports whether it is cold and there is a permit for it.
+	cold bool
 	// inCacheDataCentre reports whether it is in the data centre from which the request's
 	// cached parts are fetched.
 	inCacheDataCentre bool
@@ -125,7 +131,7 @@
 
 // Choose chooses the upstream for a demand and adds the demand to its load. It returns a
 // NoUpstreamError if the service has no usable upstream, a PausedError if each of them has asked for a
-// pause, and a FullError if none has room.
+// pause, and a FullError if none has room or a permit.
 func (b *Balancer) Choose(d Demand, now time.Time) (Choice, error) {
 	candidates, known, pausedUntil := b.candidates(d, now)
 	if b.cfg.Policy == PolicyRoundRobin {
@@ -143,6 +149,9 @@
 		}
 		candidates = slices.Delete(candidates, i, i+1)
 	}
+	if b.awaitsPermit(d, now) {
+		return Choice{}, &FullError{Service: d.Service, Cold: true}
+	}
 	if !pausedUntil.IsZero() {
 		return Choice{}, &PausedError{Service: d.Service, Until: pausedUntil}
 	}
@@ -155,7 +164,7 @@
 func (b *Balancer) candidates(d Demand, now time.Time) ([]candidate, int, time.Time) {
 	var all []candidate
 	var pausedUntil time.Time
-	known, preferred := 0, 0
+	known, preferred, lacking := 0, 0, 0
 	for i := range b.shards {
 		s := &b.shards[i]
 		s.mu.Lock()
@@ -173,7 +182,11 @@
 				}
 				continue
 			}
-			c := candidate{id: id, load: u.totalLoad(now), avoided: u.avoided(now), score: coltsshard.RendezvousScore(d.Affinity, id),
+			if b.lacksPermit(u, now) {
+				lacking++
+				continue
+			}
+			c := candidate{id: id, cold: b.isCold(u, now), load: u.totalLoad(now), avoided: u.avoided(now), score: coltsshard.RendezvousScore(d.Affinity, id),
 				inCacheDataCentre: d.CacheDataCentre != "" && u.record.DataCentre == d.CacheDataCentre, prefill: u.prefill}
 			if now.Before(u.gapUntil) {
 				c.gap = u.gap
@@ -185,6 +198,9 @@
 		}
 		s.mu.Unlock()
 	}
+	if lacking > 0 {
+		b.coldWaits.Add(1)
+	}
 	if preferred > 0 {
 		all = slices.DeleteFunc(all, func(c candidate) bool { return c.avoided })
 	}
@@ -247,12 +263,15 @@
 // have, less the bonuses, plus the penalties for slow streams and outstanding prefill.
 func costOf(d Demand, c candidate, home bool) float64 {
 	cost := (c.load + d.Weight) / max(1, d.Capacity)
-	if home {
+	if home && !c.cold {
 		cost -= d.HomeBonus
 	}
 	if c.inCacheDataCentre {
 		cost -= d.DataCentreBonus
 	}
+	if c.cold {
+		cost += coldCost
+	}
 	cost += d.PacePenalty * c.slowdown
 	cost += d.PrefillPenalty * (c.prefill + d.Prefill) / max(1, d.Capacity)
 	return cost
@@ -268,6 +287,10 @@
 	if !known || !u.usable(now) || !u.advice.Admits(now) {
 		return Choice{}, false
 	}
+	permitUntil, permitted := b.takePermit(u, now)
+	if !permitted {
+		return Choice{}, false
+	}
 	if u.running == 0 {
 		u.waitingSince = now
 	}
@@ -276,7 +299,7 @@
 	u.prefill += d.Prefill
 	return Choice{
 		Upstream: u.record, Weight: d.Weight, Prefill: d.Prefill, Running: u.running, Load: u.totalLoad(now) / max(1, d.Capacity),
-		Trial: u.advice.Sent(now),
+		Trial: u.advice.Sent(now), PermitUntil: permitUntil,
 	}, true
 }
 
--- a/coltscontrol/control.go
+++ b/coltscontrol/control.go
@@ -103,6 +103,8 @@
 	suspects *coltsattempt.Quarantine
 	// poison finds the parts of prompts that crash upstreams. Only the leader uses it.
 	poison *coltspoison.Register
+	// warmup deals permits for requests to cold upstreams.
+	warmup *warmup
 	// routes is the newest route table that this instance has applied.
 	routes atomic.Pointer[coltsroute.EncodedTable]
 	// seeds are the hosts through which the group is found. A reload replaces them.
@@ -152,6 +154,7 @@
 		registry:  coltsregistry.NewRegistry(coltsregistry.Config{SilentAfter: cfg.Settings.Control.SilentAfter}),
 	}
 	c.weightAges.startedAt = c.started
+	c.warmup = newWarmup(c)
 	c.registrySource = string(c.id()) + " " + c.started.Format(time.RFC3339Nano)
 	c.routes.Store(&coltsroute.EncodedTable{})
 	c.seeds.Store(&c.settings.Seeds)
@@ -198,6 +201,9 @@
 		c.loadRegistry()
 		c.loops.Go(func() { c.maintainRegistry(c.runCtx) })
 		c.loops.Go(func() { c.saveRegistry(c.runCtx) })
+		if c.cfg.DecodeTable != nil {
+			c.loops.Go(func() { c.warmup.followRoutes(c.runCtx) })
+		}
 		if c.cfg.Stores.Events != nil && c.cfg.DecodeTable != nil {
 			c.loops.Go(func() { c.followStores(c.runCtx) })
 		}
--- a/coltscontrol/driver_output.go
+++ b/coltscontrol/driver_output.go
@@ -166,13 +166,14 @@
 	now := d.c.cfg.Now()
 	d.c.metrics.Put(coltsmetric.JournalSyncs, int64(d.store.journal.Stats().Syncs))
 	v := &replicaView{
-		leader:        d.replica.Leader(),
-		isLeader:      d.replica.Role() == coltsreplica.RoleLeader,
-		term:          d.replica.Term(),
-		appliedIndex:  d.appliedIndex,
-		freshUntil:    d.replica.FreshUntil(now),
-		leaseUntil:    d.replica.LeaseUntil(),
-		configuration: d.replica.Configuration(),
+		leader:         d.replica.Leader(),
+		isLeader:       d.replica.Role() == coltsreplica.RoleLeader,
+		term:           d.replica.Term(),
+		appliedIndex:   d.appliedIndex,
+		freshUntil:     d.replica.FreshUntil(now),
+		leaseUntil:     d.replica.LeaseUntil(),
+		confirmedUntil: d.replica.ConfirmedUntil(),
+		configuration:  d.replica.Configuration(),
 	}
 	old := d.view.Load()
 	v.leaderSince = now
--- a/coltscontrol/registry_loop.go
+++ b/coltscontrol/registry_loop.go
@@ -38,6 +38,9 @@
 			c.registry.ResetDeadlines(c.cfg.Now())
 			c.poison.Reset()
 		}
+		if wasLeader && !isLeader {
+			c.warmup.forget()
+		}
 		wasLeader = isLeader
 		if !isLeader && m.poll(ctx) {
 			continue
@@ -45,6 +48,7 @@
 		if isLeader {
 			c.sweepRegistry()
 			c.sweepPoison()
+			c.warmup.sweep()
 		}
 		select {
 		case <-ctx.Done():
@@ -186,13 +190,13 @@
 		}
 		reply, hasChanges := s.watchReply(r)
 		if hasChanges || s.c.stopping() {
-			return reply, nil
+			return s.c.warmup.addPermits(r, reply), nil
 		}
 		select {
 		case <-ctx.Done():
 			return nil, unavailable(ctx.Err())
 		case <-timer.C:
-			return reply, nil
+			return s.c.warmup.addPermits(r, reply), nil
 		case <-changed:
 		}
 	}
--- a/coltscontrol/replica_driver.go
+++ b/coltscontrol/replica_driver.go
@@ -87,8 +87,10 @@
 	// leaseUntil is the end of this instance's leader lease: no other instance can lead before
 	// then, and orders are sent only under the lease. leaderSince is when this instance became
 	// leader; it has no meaning while isLeader is false.
-	leaseUntil  time.Time
-	leaderSince time.Time
+	leaseUntil time.Time
+	// confirmedUntil is until when a quorum's last acknowledgement counts for this leader.
+	confirmedUntil time.Time
+	leaderSince    time.Time
 	// diskFailed is set once the disk has failed; the replica then takes no further part in the
 	// group.
 	diskFailed    bool
--- a/coltsgateway/control_reply.go
+++ b/coltsgateway/control_reply.go
@@ -45,6 +45,7 @@
 		if reply.GetStoresComplete() {
 			w.applyStores(reply, askedAt)
 		}
+		w.applyPermits(reply, now, askedAt)
 		w.g.balancer.SetPeerLoads(coltswire.DecodeLoads(reply.GetLoads(), now), now)
 		w.g.capacityFreed.Broadcast()
 		w.mergeSuspects(reply, now)
@@ -55,6 +56,17 @@
 	}
 }
 
+// applyPermits applies the permits for requests to cold upstreams.
+func (w *controlWatcher) applyPermits(reply *coltspb.WatchReply, now, askedAt time.Time) {
+	permits := coltswire.DecodeColdPermits(reply.GetColdPermits(), askedAt)
+	w.g.balancer.SetPermits(permits)
+	for _, p := range permits {
+		w.g.metrics.Add(coltsmetric.ColdPermits, int64(p.Requests))
+	}
+	w.g.metrics.Put(coltsmetric.ColdUpstreams, int64(w.g.balancer.ColdUpstreams(now)))
+	w.g.metrics.Put(coltsmetric.ColdWaits, w.g.balancer.ColdWaits())
+}
+
 // applyPoison applies which parts of prompts are blocked.
 func (w *controlWatcher) applyPoison(reply *coltspb.WatchReply, now time.Time) {
 	verdict := coltswire.DecodePoisonVerdict(reply, now)
@@ -112,6 +124,9 @@
 		return
 	}
 	before := w.g.routes.Version()
+	if table.Version > before {
+		w.g.balancer.SetColdDurations(table.ColdDurations())
+	}
 	if w.g.routes.Put(table) {
 		w.g.routesChanged.Broadcast()
 		w.g.metrics.Put(coltsmetric.RoutesVersion, int64(table.Version))
--- a/coltsgateway/upstream_advice.go
+++ b/coltsgateway/upstream_advice.go
@@ -44,11 +44,11 @@
 }
 
 // checkWithdrawn returns a failure if the upstream has asked for a pause, or said that it is leaving, since
-// it was chosen.
+// it was chosen, or if it is cold and the permit has expired.
 func (g *Gateway) checkWithdrawn(choice coltsbalance.Choice) *attemptError {
 	if !g.balancer.IsWithdrawn(choice, g.now()) {
 		return nil
 	}
 	return newAttemptError(coltsattempt.PhaseUnsent, coltsbalance.OutcomeNeutral,
-		"upstream %s is leaving or has asked for a pause meanwhile", choice.Upstream.ID)
+		"upstream %s is leaving, has asked for a pause, or is cold without a valid permit meanwhile", choice.Upstream.ID)
 }
--- a/coltsmetric/metric_table.go
+++ b/coltsmetric/metric_table.go
@@ -57,6 +57,9 @@
 	PartsBlocked           = Metric{"parts-blocked", "parts", "parts of prompts that crash upstreams; prompts with them are refused"}
 	UpstreamsLeft          = Metric{"upstreams-left", "upstreams", "processes of upstreams that said in a response that they are leaving"}
 	Pauses                 = Metric{"pauses", "pauses", "pauses that upstreams asked for"}
+	ColdUpstreams          = Metric{"cold-upstreams", "upstreams", "upstreams that are cold and get only requests with a permit"}
+	ColdPermits            = Metric{"cold-permits", "requests", "requests to cold upstreams that the leader has permitted, or that this gateway was permitted"}
+	ColdWaits              = Metric{"cold-waits", "choices", "choices that passed over a cold upstream for lack of a permit"}
 	LogLinesDropped        = Metric{"log-lines-dropped", "lines", "log lines dropped because their reader was too slow"}
 	Commands               = Metric{"commands", "commands", "commands applied"}
 	JournalSyncs           = Metric{"journal-syncs", "syncs", "syncs of the journal"}
@@ -69,7 +72,7 @@
 	StreamedParts, TokensComputed, TokensReused, FirstTokenMicros, FirstTokens, Lookups, Exports, ExportsFailed,
 	Announcements, UntrustedAnnouncements, Upstreams, CacheEvents, Grants, Replays, SettleRetries, Revision, LastContactMillis,
 	RoutesVersion, WatchFailures, RefusedNotRun, FailedUnknown, StreamsBroken, RequestsAtHome, Panics, BuffersExhausted, PartsBlocked, UpstreamsLeft, Pauses,
-	LogLinesDropped,
+	ColdUpstreams, ColdPermits, ColdWaits, LogLinesDropped,
 	UsageBatches, Commands, JournalSyncs, Snapshots,
 }
 
--- a/coltssettings/settings.go
+++ b/coltssettings/settings.go
@@ -60,6 +60,8 @@
 	ToleratedLosses int              `json:"tolerated-losses" unit:"instances" min:"0" usage:"instances whose loss at the same time a group that forms itself must bear"`
 	LoadOrderDelay  time.Duration    `json:"order-wait" unit:"duration" min:"0s" usage:"time for which a new leader gives runners no orders to load weights, so that two holders of that right don't take turns"`
 	SilentAfter     time.Duration    `json:"silent-after" unit:"duration" min:"100ms" usage:"time without a report after which an upstream counts as silent"`
+	ColdExcess      float64          `json:"cold-excess" unit:"factor" min:"0" usage:"factor on the requests a second that the route table allows to an upstream that is cold, for all gateways together"`
+	ColdSlack       float64          `json:"cold-slack" unit:"requests" min:"0" usage:"requests in a second that are allowed to such an upstream besides"`
 	Replicas        []Replica        `json:"replicas" unit:"instances" usage:"every control instance of the group: instance, address, and joins for one that is added to a running group; empty for a group of one"`
 }
 
@@ -143,6 +145,7 @@
 			MaxLoading:     3,
 			LoadOrderDelay: 3 * time.Second,
 			SilentAfter:    5 * time.Second,
+			ColdExcess:     1,
 		},
 	}
 }
--- a/coltswarmup/warmup_dealer.go
+++ b/coltswarmup/warmup_dealer.go
@@ -14,7 +14,6 @@
 // allowance: a request with a permit for the earlier process may still reach the later one.
 
 import (
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -183,14 +182,3 @@
 	Requests int
 	Until    time.Time
 }
-
-// Find returns the permit for a process, and whether there is one.
-func Find(permits []Permit, p coltsregistry.Process) (Permit, bool) {
-	i := slices.IndexFunc(permits, func(permit Permit) bool {
-		return permit.Process.ID == p.ID && permit.Process.StartedAt.Equal(p.StartedAt)
-	})
-	if i < 0 {
-		return Permit{}, false
-	}
-	return permits[i], true
-}
