Treat an upstream whose process has ended as cold

A process that crashes often returns a second later, sometimes under the same ID and at the same address. While the leader is frozen no report of it reaches the gateways: each that finds its connections refused tries again after its backoff, and the new process, which is cold, gets requests without permits.

A refused connection now marks the upstream as cold at this gateway, for services that limit requests to cold processes. The mark ends with control's report of the next process, or after twice the cold time. Time-outs don't count, because a gateway that is cut off itself would mark all upstreams.

--- a/coltsbalance/balance_warmup.go
+++ b/coltsbalance/balance_warmup.go
@@ -22,7 +22,8 @@
 // warmup is what the balancer knows about an upstream that is cold.
 type warmup struct {
 	permits coltswarmup.Permits
-	// markedUntil is until when the upstream counts as cold because its data centre was marked.
+	// markedUntil is until when the upstream counts as cold because its data centre was marked or its
+	// process has ended.
 	markedUntil time.Time
 }
 
@@ -133,6 +134,23 @@
 	}
 }
 
+// RecordEnded records that a process of an upstream has ended: nothing listens at its address. Another one may
+// listen there at any moment under the same ID, and it is cold before control reports it, which takes
+// seconds if the leader is frozen. So the upstream counts as cold for the time of an outage that is as long as the cold time
+// and the cold time after it, or until control reports the next process.
+func (b *Balancer) RecordEnded(p coltsregistry.Process, now time.Time) {
+	s := &b.shards[coltsshard.Of(p.ID)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u, known := s.upstreams[p.ID]
+	if !known || !u.record.StartedAt.Equal(p.StartedAt) {
+		return
+	}
+	if d, limited := b.coldDuration(u.record.Service); limited {
+		u.warmup.markedUntil = now.Add(2 * d)
+	}
+}
+
 // ColdWaits returns the number of choices that passed over a cold upstream for lack of a permit.
 func (b *Balancer) ColdWaits() int64 { return b.coldWaits.Load() }
 
--- a/coltsbalance/balance_warmup_test.go
+++ b/coltsbalance/balance_warmup_test.go
@@ -131,6 +131,31 @@
 	})
 }
 
+// The failure guarded against: a process that returns under the same ID is filled before control reports it, because
+// the leader is frozen.
+func TestEndedProcess(t *testing.T) {
+	ended := func() *Balancer {
+		b := newColdBalancer(1, 0)
+		b.RecordEnded(coltsregistry.Process{ID: "r0", StartedAt: now}, now)
+		return b
+	}
+	t.Run("an upstream whose process has ended gets nothing without a permit", func(t *testing.T) {
+		assertAwaitsPermit(t, ended(), Demand{})
+	})
+	t.Run("control's report of the next process replaces this", func(t *testing.T) {
+		b, next := ended(), entry("r0", coltsregistry.StateReady, 1)
+		next.Upstream.StartedAt = now.Add(time.Second)
+		b.Update(next)
+		choose(t, b, Demand{})
+		b.RecordEnded(coltsregistry.Process{ID: "r0", StartedAt: now}, now)
+		choose(t, b, Demand{})
+	})
+	t.Run("it is forgotten if control reports none", func(t *testing.T) {
+		_, err := ended().Choose(Demand{Service: "llm", Weight: 1, Capacity: 4}, now.Add(6*time.Second))
+		assert.NilError(t, err)
+	})
+}
+
 func TestMarkCold(t *testing.T) {
 	marked := func() *Balancer {
 		b := newColdBalancer(1, 0)
--- a/coltsgateway/upstream_advice.go
+++ b/coltsgateway/upstream_advice.go
@@ -9,6 +9,7 @@
 	"coltsfootstall/coltsbalance"
 	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsmetric"
+	"coltsfootstall/coltsregistry"
 )
 
 // recordLeaving records that the upstream has said that it is leaving. A response that names another
@@ -43,6 +44,12 @@
 	}
 }
 
+// recordEnded records that nothing listens any more at the address of a choice.
+func (g *Gateway) recordEnded(choice coltsbalance.Choice) {
+	process := coltsregistry.Process{ID: choice.Upstream.ID, StartedAt: choice.Upstream.StartedAt}
+	g.balancer.RecordEnded(process, g.now())
+}
+
 // checkWithdrawn returns a failure if the upstream has asked for a pause, or said that it is leaving, since
 // it was chosen, or if it is cold and the permit has expired.
 func (g *Gateway) checkWithdrawn(choice coltsbalance.Choice) *attemptError {
--- a/coltsgateway/upstream_exchange.go
+++ b/coltsgateway/upstream_exchange.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/netip"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -94,6 +95,9 @@
 		if ctx.Err() != nil {
 			outcome = coltsbalance.OutcomeNeutral
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			g.recordEnded(choice)
+		}
 		return nil, newAttemptError(coltsattempt.PhaseUnsent, outcome,
 			"upstream %s at %s can't be reached: %v", choice.Upstream.ID, addr, err)
 	}
