--- a/coltsbalance/balance_advice.go
+++ b/coltsbalance/balance_advice.go
@@ -31,8 +31,9 @@
 	return known && change(&u.advice)
 }
 
-// IsWithdrawn reports whether the upstream of a choice has asked for a pause, or said that it is leaving,
-// or its data centre was evacuated, since the choice.
+// IsWithdrawn reports whether the upstream of a choice must not get its request any more: since the choice it
+// has asked for a pause or said that it is leaving, its data centre was evacuated, or the choice's permit
+// has expired while it is cold.
 func (b *Balancer) IsWithdrawn(c Choice, now time.Time) bool {
 	if b.isEvacuated(c.Upstream.DataCentre) {
 		return true
@@ -41,7 +42,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u, known := s.upstreams[c.Upstream.ID]
-	return known && u.advice.Withdraws(c.Trial, now)
+	return known && (u.advice.Withdraws(c.Trial, now) || b.withdrawsPermit(u, c, now))
 }
 
 // Leaving returns the processes that have said to this instance that they are leaving, and that control
--- a/coltscontrol/control_evacuation.go
+++ b/coltscontrol/control_evacuation.go
@@ -70,15 +70,19 @@
 		c.log.Info("A data centre is evacuated.", coltslog.Fields{"data-centre": dc, "revision": published.Revision})
 	}
 	for _, e := range changes.Ended {
-		c.applyEvacuationEnd(e.DataCentre, now.Sub(e.ChangedAt))
+		c.applyEvacuationEnd(e.DataCentre, e.ChangedAt, now)
 	}
 	return true
 }
 
-// applyEvacuationEnd handles the end of an evacuation, which took effect a time ago. It is called once
-// for each end in each process, also for ends that are restored at a start.
-func (c *Control) applyEvacuationEnd(dc coltsidentity.DataCentre, sinceEnd time.Duration) {
-	c.log.Info("The evacuation of a data centre has ended.", coltslog.Fields{"data-centre": dc, "ended-ago-ms": sinceEnd.Milliseconds()})
+// applyEvacuationEnd handles the end of an evacuation, which took effect a time ago: the upstreams may have
+// become cold shortly before. It is called once for each end in each process, also for ends that are
+// restored at a start.
+func (c *Control) applyEvacuationEnd(dc coltsidentity.DataCentre, endedAt, now time.Time) {
+	marked := c.registry.MarkCold(dc, endedAt)
+	c.log.Info("The evacuation of a data centre has ended.", coltslog.Fields{
+		"data-centre": dc, "ended-ago-ms": now.Sub(endedAt).Milliseconds(), "marked-cold": marked,
+	})
 }
 
 // addEvacuations adds the evacuations to a reply if they are newer than what the caller has, and reports
--- a/coltsgateway/control_evacuation.go
+++ b/coltsgateway/control_evacuation.go
@@ -24,7 +24,7 @@
 	evacuated := state.Evacuated()
 	// What the end of an evacuation limits must be in force before the upstreams are chosen again.
 	for _, e := range changes.Ended {
-		w.applyEvacuationEnd(e.DataCentre, now.Sub(e.ChangedAt))
+		w.applyEvacuationEnd(e.DataCentre, e.ChangedAt, now)
 	}
 	w.g.balancer.SetEvacuations(evacuated)
 	w.evacuations = state
@@ -38,10 +38,12 @@
 	w.g.capacityFreed.Broadcast()
 }
 
-// applyEvacuationEnd handles the end of an evacuation, which took effect a time ago. It is called once
-// for each end, also for those that control had before this instance started.
-func (w *controlWatcher) applyEvacuationEnd(dc coltsidentity.DataCentre, sinceEnd time.Duration) {
+// applyEvacuationEnd handles the end of an evacuation, which took effect a time ago: the upstreams may have
+// become cold shortly before. It is called once for each end, also for those that control had before this
+// instance started.
+func (w *controlWatcher) applyEvacuationEnd(dc coltsidentity.DataCentre, endedAt, now time.Time) {
+	w.g.balancer.MarkCold(dc, endedAt)
 	w.g.log.Info("The evacuation of a data centre has ended.", coltslog.Fields{
-		"data-centre": dc, "ended-ago-ms": sinceEnd.Milliseconds(),
+		"data-centre": dc, "ended-ago-ms": now.Sub(endedAt).Milliseconds(),
 	})
 }
--- a/coltsgateway/upstream_advice.go
+++ b/coltsgateway/upstream_advice.go
@@ -9,6 +9,7 @@
 	"coltsfootstall/coltsbalance"
 	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsmetric"
+	"coltsfootstall/coltsregistry"
 )
 
 // recordLeaving records that the upstream has said that it is leaving. A response that names another
@@ -43,12 +44,18 @@
 	}
 }
 
-// checkWithdrawn returns a failure if the upstream has asked for a pause, or said that it is leaving, or its
-// data centre was evacuated, since it was chosen.
+// recordEnded records that nothing listens any more at the address of a choice.
+func (g *Gateway) recordEnded(choice coltsbalance.Choice) {
+	process := coltsregistry.Process{ID: choice.Upstream.ID, StartedAt: choice.Upstream.StartedAt}
+	g.balancer.RecordEnded(process, g.now())
+}
+
+// checkWithdrawn returns a failure if, since it was chosen, the upstream has asked for a pause or said that
+// it is leaving, its data centre was evacuated, or the permit for it has expired while it is cold.
 func (g *Gateway) checkWithdrawn(choice coltsbalance.Choice) *attemptError {
 	if !g.balancer.IsWithdrawn(choice, g.now()) {
 		return nil
 	}
 	return newAttemptError(coltsattempt.PhaseUnsent, coltsbalance.OutcomeNeutral,
-		"upstream %s is leaving, has asked for a pause or is being evacuated meanwhile", choice.Upstream.ID)
+		"upstream %s is leaving, evacuated, has asked for a pause, or is cold without a valid permit meanwhile", choice.Upstream.ID)
 }
--- a/coltsmetric/metric_table.go
+++ b/coltsmetric/metric_table.go
@@ -58,6 +58,9 @@
 	UpstreamsLeft          = Metric{"upstreams-left", "upstreams", "processes of upstreams that said in a response that they are leaving"}
 	Pauses                 = Metric{"pauses", "pauses", "pauses that upstreams asked for"}
 	EvacuatedDataCentres   = Metric{"evacuated-data-centres", "data-centres", "data centres to whose upstreams nothing new is sent, by order of an operator"}
+	ColdUpstreams          = Metric{"cold-upstreams", "upstreams", "upstreams that are cold and get only requests with a permit"}
+	ColdPermits            = Metric{"cold-permits", "requests", "requests to cold upstreams that the leader has permitted, or that this gateway was permitted"}
+	ColdWaits              = Metric{"cold-waits", "choices", "choices that passed over a cold upstream for lack of a permit"}
 	LogLinesDropped        = Metric{"log-lines-dropped", "lines", "log lines dropped because their reader was too slow"}
 	Commands               = Metric{"commands", "commands", "commands applied"}
 	JournalSyncs           = Metric{"journal-syncs", "syncs", "syncs of the journal"}
@@ -69,8 +72,8 @@
 	Requests, Refused, RequestsUnderWay, CallerDisconnects, Attempts, Retries, Resumes, WrongRequestIDs, SilentConnections,
 	StreamedParts, TokensComputed, TokensReused, FirstTokenMicros, FirstTokens, Lookups, Exports, ExportsFailed,
 	Announcements, UntrustedAnnouncements, Upstreams, CacheEvents, Grants, Replays, SettleRetries, Revision, LastContactMillis,
-	RoutesVersion, WatchFailures, RefusedNotRun, FailedUnknown, StreamsBroken, RequestsAtHome, Panics, BuffersExhausted, PartsBlocked, UpstreamsLeft, Pauses, EvacuatedDataCentres,
-	LogLinesDropped,
+	RoutesVersion, WatchFailures, RefusedNotRun, FailedUnknown, StreamsBroken, RequestsAtHome, Panics, BuffersExhausted, PartsBlocked, UpstreamsLeft, Pauses,
+	EvacuatedDataCentres, ColdUpstreams, ColdPermits, ColdWaits, LogLinesDropped,
 	UsageBatches, Commands, JournalSyncs, Snapshots,
 }
 
