Draw upstreams at random while the leader is not heard

A runner that crashes and returns under the same ID while the leader is frozen looks warm and empty to all gateways: nobody reports that it is cold, and only gateways that found a connection refused know that it ended. The others preferred it to every loaded runner.

For services that limit requests to cold processes, a choice now compares only the home and one candidate drawn at random once the leader has not been heard for 500 ms, so such a runner gets an average share.

--- a/coltsbalance/balance_warmup.go
+++ b/coltsbalance/balance_warmup.go
@@ -19,6 +19,31 @@
 // capacity more load, when a slow answer is better than waiting for them. How slow it is, no report says.
 const coldCost = 0.5
 
+// informedFor is how long the loads of the other instances say which upstreams have just returned. It spans several
+// polls of the leader.
+const informedFor = 500 * time.Millisecond
+
+// isInformed reports whether a choice may rely on which upstreams seem empty. For services that limit requests to
+// cold processes it may not while the leader is not heard.
+func (b *Balancer) isInformed(service coltsidentity.Service, now time.Time) bool {
+	if _, limited := b.coldDuration(service); !limited {
+		return true
+	}
+	informedAt := b.informedAt.Load()
+	return informedAt != nil && now.Sub(*informedAt) < informedFor
+}
+
+// pickUninformed is pick without the sample: it compares the home with one candidate that is drawn at random. A process that has
+// crashed and returned under the same ID while the leader is not heard is cold, but looks warm and empty to all
+// instances, and together they would send it more than it bears. Drawn at random, it gets an average share.
+func (b *Balancer) pickUninformed(d Demand, candidates []candidate) (int, bool) {
+	drawn, home := b.cfg.Random(len(candidates)), homeOf(d, candidates)
+	if home >= 0 && costOf(d, candidates[home], true) <= costOf(d, candidates[drawn], drawn == home) {
+		return home, true
+	}
+	return drawn, drawn == home
+}
+
 // warmup is what the balancer knows about an upstream that is cold.
 type warmup struct {
 	permits coltswarmup.Permits
--- a/coltsbalance/balance_warmup_test.go
+++ b/coltsbalance/balance_warmup_test.go
@@ -17,6 +17,7 @@
 func newColdBalancer(n, cold int) *Balancer {
 	b := newBalancer(n)
 	b.SetColdDurations(map[coltsidentity.Service]time.Duration{"llm": 3 * time.Second})
+	b.SetPeerLoads(nil, now)
 	for i := range cold {
 		b.Update(coldEntry(i, now))
 	}
@@ -156,6 +157,45 @@
 	})
 }
 
+// The failure guarded against: processes that returned under the same ID look warm and empty while the leader is
+// frozen, and get the requests of all instances.
+func TestUninformed(t *testing.T) {
+	empty := func(b *Balancer, now time.Time) int {
+		n := 0
+		for range 100 {
+			c, err := b.Choose(Demand{Service: "llm", Weight: 1, Capacity: 100}, now)
+			assert.NilError(t, err)
+			b.Done(c, OutcomeNeutral, now)
+			if c.Upstream.ID == "r0" {
+				n++
+			}
+		}
+		return n
+	}
+	loaded := func() *Balancer {
+		b := newColdBalancer(4, 0)
+		b.SetPeerLoads([]Load{{Upstream: "r1", Amount: 30}, {Upstream: "r2", Amount: 30}, {Upstream: "r3", Amount: 30}}, now)
+		return b
+	}
+	t.Run("an empty upstream is preferred while the leader is heard", func(t *testing.T) {
+		n := empty(loaded(), now)
+		assert.Assert(t, n > 60, "%d of 100", n)
+	})
+	t.Run("an empty upstream gets an average share while the leader is not heard", func(t *testing.T) {
+		n := empty(loaded(), now.Add(informedFor))
+		assert.Assert(t, n > 10 && n < 45, "%d of 100", n)
+	})
+	t.Run("a prompt goes to its home all the same", func(t *testing.T) {
+		home := Demand{Affinity: []byte("part"), Capacity: 100}
+		want := choose(t, newBalancer(4), home).Upstream.ID
+		b := newColdBalancer(4, 0)
+		home.Service, home.HomeBonus, home.Weight = "llm", 0.5, 1
+		c, err := b.Choose(home, now.Add(informedFor))
+		assert.NilError(t, err)
+		assert.Assert(t, c.Home && c.Upstream.ID == want)
+	})
+}
+
 func TestMarkCold(t *testing.T) {
 	marked := func() *Balancer {
 		b := newColdBalancer(1, 0)
--- a/coltsbalance/balancer.go
+++ b/coltsbalance/balancer.go
@@ -24,7 +24,9 @@
 	// coldDurations holds how long processes are cold after their start, by service; nil until it is set.
 	coldDurations atomic.Pointer[map[coltsidentity.Service]time.Duration]
 	coldWaits     atomic.Int64
-	shards        [coltsshard.Count]balancerShard
+	// informedAt is when the leader last told the loads of the other instances; nil if it never has.
+	informedAt atomic.Pointer[time.Time]
+	shards     [coltsshard.Count]balancerShard
 }
 
 type balancerShard struct {
@@ -138,7 +140,7 @@
 		d.Limit = 0
 	}
 	for len(candidates) > 0 {
-		i, home := b.pick(d, candidates)
+		i, home := b.pick(d, candidates, now)
 		if load := utilisation(d, candidates, i); d.Limit > 0 && load > d.Limit {
 			return Choice{}, &FullError{Service: d.Service, Load: load}
 		}
@@ -212,18 +214,14 @@
 // least-loaded policy compares the home and a random sample of the candidates, and picks the
 // one with the lowest cost. It does not compare all candidates because instances learn of
 // each other's load with a delay: all of them would pick the same upstream at once.
-func (b *Balancer) pick(d Demand, candidates []candidate) (int, bool) {
+func (b *Balancer) pick(d Demand, candidates []candidate, now time.Time) (int, bool) {
 	if b.cfg.Policy == PolicyRoundRobin {
 		return int(b.roundRobin.Add(1) % uint64(len(candidates))), false
 	}
-	home := -1
-	if len(d.Affinity) > 0 {
-		for i, c := range candidates {
-			if home < 0 || c.score > candidates[home].score {
-				home = i
-			}
-		}
+	if !b.isInformed(d.Service, now) {
+		return b.pickUninformed(d, candidates)
 	}
+	home := homeOf(d, candidates)
 	best := home
 	for _, i := range b.sample(len(candidates)) {
 		if best < 0 || costOf(d, candidates[i], i == home) < costOf(d, candidates[best], best == home) {
@@ -233,6 +231,19 @@
 	return best, best == home
 }
 
+// homeOf returns the index of the demand's home, -1 if it has none.
+func homeOf(d Demand, candidates []candidate) int {
+	home := -1
+	if len(d.Affinity) > 0 {
+		for i, c := range candidates {
+			if home < 0 || c.score > candidates[home].score {
+				home = i
+			}
+		}
+	}
+	return home
+}
+
 // utilisation returns the load that a candidate would have with the demand, as a share of
 // its capacity. It returns 0 for an idle candidate, which has room for a demand of any size.
 func utilisation(d Demand, candidates []candidate, i int) float64 {
@@ -364,6 +375,7 @@
 // SetPeerLoads sets the loads that all other instances together have. An upstream that is
 // missing from loads has none.
 func (b *Balancer) SetPeerLoads(loads []Load, now time.Time) {
+	b.informedAt.Store(&now)
 	amounts := make(map[coltsidentity.Upstream]float64, len(loads))
 	for _, l := range loads {
 		amounts[l.Upstream] = l.Amount
