Simulate customers A and B with stale loads and crashes, and print imbalance

coltsload trade had no scenario in which the loads of other gateways are older than their last report, no crash of runners, and no figure for how evenly work is spread, so candidates for even load could not be compared.

Seven scenarios follow docs/HARD-LOAD.md: customer A (84 gateways, 90 runners, bursts), the same with a quarter of the runners down for three seconds, restarted and slow for three seconds, or a third of them twice as slow, and customer B (29 uneven gateways, 140 uneven runners of 12 slots, hot sessions), also with the two crashes. The table adds the 95th percentile of the tokens that a runner holds against the mean, each 100 ms, the share of runners above twice the mean, and late and refused requests by class.

A queued request whose choice fails for another reason than a full upstream stays queued; it was sent to no runner before, which is a panic once runners crash.

--- a/coltstrade/trade_command.go
+++ b/coltstrade/trade_command.go
@@ -28,6 +28,22 @@
 	return s, nil
 }
 
+// findVariants returns the variants with the names; all if there are none.
+func findVariants(names []string) ([]Variant, error) {
+	var known []string
+	variants := slices.DeleteFunc(Variants(), func(v Variant) bool {
+		known = append(known, v.Name)
+		return len(names) > 0 && !slices.Contains(names, v.Name)
+	})
+	for _, name := range names {
+		if !slices.Contains(known, name) {
+			return nil, errors.Errorf("unknown variant %q: must be one of %s%s",
+				name, strings.Join(known, ", "), coltsjsonc.Suggest(name, known))
+		}
+	}
+	return variants, nil
+}
+
 // Command returns the subcommand.
 func Command() *cli.Command {
 	return &cli.Command{
@@ -35,14 +51,29 @@
 		Usage:       "compare routing, caching and queueing policies in simulated time",
 		ArgsUsage:   "SCENARIO",
 		Description: "Example:\n   coltsload trade --seeds 3 calm\nScenarios: " + strings.Join(Names(), ", ") + ".",
-		Flags:       []cli.Flag{&cli.IntFlag{Name: "seeds", Usage: "simulate each variant with `N` seeds", Value: 1}},
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "seeds", Usage: "simulate each variant with `N` seeds", Value: 1},
+			&cli.StringSliceFlag{Name: "variant", Usage: "simulate only the variants with these `NAMES`"},
+			&cli.IntFlag{Name: "gateways", Usage: "set the number of gateways to `N`"},
+			&cli.DurationFlag{Name: "load-age", Usage: "set the additional age of load reports to `DURATION`"},
+		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			s, err := Find(c.Args().First())
 			if err != nil {
 				return err
 			}
+			if c.IsSet("gateways") {
+				s.Gateways = c.Int("gateways")
+			}
+			if c.IsSet("load-age") {
+				s.LoadAge = c.Duration("load-age")
+			}
+			variants, err := findVariants(c.StringSlice("variant"))
+			if err != nil {
+				return err
+			}
 			var results []*Result
-			for _, v := range Variants() {
+			for _, v := range variants {
 				for seed := range c.Int("seeds") {
 					results = append(results, Simulate(s, v, uint64(seed+1)))
 				}
--- a/coltstrade/trade_gateway.go
+++ b/coltstrade/trade_gateway.go
@@ -5,7 +5,6 @@
 // gateways and the changes of the catalogue.
 
 import (
-	"errors"
 	"fmt"
 	"time"
 
@@ -64,7 +63,12 @@
 func (g *gateway) sync() {
 	now := g.sim.scheduler.now
 	g.sim.loads.Report(g.id, g.balancer.Loads(), now)
-	g.balancer.SetPeerLoads(g.sim.loads.Others(g.id, now), now)
+	others := g.sim.loads.Others(g.id, now)
+	if g.sim.scenario.LoadAge == 0 {
+		g.balancer.SetPeerLoads(others, now)
+	} else {
+		g.sim.scheduler.after(g.sim.scenario.LoadAge, func() { g.balancer.SetPeerLoads(others, g.sim.scheduler.now) })
+	}
 	for more := true; more; {
 		delta := g.sim.catalogue.Since(g.position, maxStoreChanges)
 		g.stores.Receive(delta, now)
@@ -111,7 +115,11 @@
 		ticket: g.queue.Join(request.Service, request.Priority(), request.DispatchDeadline()),
 	}
 	g.queued = append(g.queued, q)
-	g.sim.scheduler.at(request.QueueDeadline(), func() { g.expire(q) })
+	deadline := request.QueueDeadline()
+	if g.sim.variant.WaitsForLimit {
+		deadline = request.Deadline().Add(-request.Route.LatencyGoal)
+	}
+	g.sim.scheduler.at(deadline, func() { g.expire(q) })
 }
 
 // dequeue removes a request from the queue and reports whether it was still queued.
@@ -143,8 +151,7 @@
 				continue
 			}
 			choice, err := g.balancer.Choose(g.demand(q.request), g.sim.scheduler.now)
-			var full *coltsbalance.FullError
-			if errors.As(err, &full) {
+			if err != nil {
 				return
 			}
 			g.dequeue(q)
@@ -180,6 +187,15 @@
 		g.sim.result.countAnswer(timing, maxGap)
 		g.dispatchQueued()
 	}
+	req.onFailed = func(arrived bool) {
+		g.balancer.Done(choice, coltsbalance.OutcomeFailed, g.sim.scheduler.now)
+		if arrived {
+			g.sim.result.countRefusal(timing.class)
+			return
+		}
+		request.CountAttempt(choice.Upstream.ID)
+		g.handle(request, timing)
+	}
 	g.sim.scheduler.after(networkDelay, func() { g.sim.startRequest(r, req, plan, request.Inbound.PromptTokens) })
 }
 
--- a/coltstrade/trade_result.go
+++ b/coltstrade/trade_result.go
@@ -40,6 +40,42 @@
 	// MaxLinkUtilization is the utilization of the busiest store link, as a share of the
 	// scenario's duration.
 	MaxLinkUtilization float64
+	// imbalance holds the work of each runner at each measurement, as a multiple of the mean.
+	// finish sorts it.
+	imbalance []float64
+}
+
+// imbalancePeriod is the interval at which the work that runners hold is compared.
+const imbalancePeriod = 100 * time.Millisecond
+
+// measureImbalance records the tokens of the requests that each runner holds as a multiple of the mean
+// of the runners that are not down.
+func (sim *simulation) measureImbalance() {
+	total, up := 0, 0
+	for _, r := range sim.runners {
+		if !r.down {
+			total, up = total+r.heldTokens, up+1
+		}
+	}
+	if total == 0 {
+		return
+	}
+	for _, r := range sim.runners {
+		if !r.down {
+			sim.result.imbalance = append(sim.result.imbalance, float64(r.heldTokens)*float64(up)/float64(total))
+		}
+	}
+}
+
+// Imbalance returns the 95th percentile of the work of a runner as a multiple of the mean, and the share of the
+// measurements in which a runner had more than twice the mean, which makes its prompts late.
+func (r *Result) Imbalance() (p95, overTwice float64) {
+	n := len(r.imbalance)
+	if n == 0 {
+		return 0, 0
+	}
+	first, _ := slices.BinarySearch(r.imbalance, 2)
+	return r.imbalance[min(n-1, n*95/100)], float64(n-first) / float64(n)
 }
 
 func newResult(s Scenario, v Variant) *Result {
@@ -71,6 +107,7 @@
 	for _, st := range sim.stores {
 		r.MaxLinkUtilization = max(r.MaxLinkUtilization, st.link.busyTime.Seconds()/sim.scenario.Duration.Seconds())
 	}
+	slices.Sort(r.imbalance)
 	for i := range r.Classes {
 		slices.Sort(r.Classes[i].firstTokenTimes)
 		slices.Sort(r.Classes[i].maxGaps)
@@ -100,16 +137,19 @@
 // milliseconds.
 func WriteTable(w io.Writer, results []*Result) error {
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprint(tw, "variant\tscore\trecomputed\ttransferred\tbusiest link\t")
+	_, _ = fmt.Fprint(tw, "variant\tscore\trecomputed\ttransferred\tbusiest link\tload p95\tover twice\t")
 	for _, c := range results[0].Classes {
-		_, _ = fmt.Fprintf(tw, "%s on time\tfirst token p50\tp95\tmax gap p95\t", c.Name)
+		_, _ = fmt.Fprintf(tw, "%s on time\tlate\trefused\tfirst token p50\tp95\tmax gap p95\t", c.Name)
 	}
 	_, _ = fmt.Fprintln(tw)
 	for _, r := range results {
-		_, _ = fmt.Fprintf(tw, "%s\t%.3f\t%dk\t%dk\t%.2f\t", r.Variant.Name, r.Score(),
-			r.RecomputedTokens/1000, r.TransferredTokens/1000, r.MaxLinkUtilization)
+		p95, overTwice := r.Imbalance()
+		_, _ = fmt.Fprintf(tw, "%s\t%.4f\t%dk\t%dk\t%.2f\t%.2f\t%.4f\t", r.Variant.Name, r.Score(),
+			r.RecomputedTokens/1000, r.TransferredTokens/1000, r.MaxLinkUtilization, p95, overTwice)
 		for _, c := range r.Classes {
-			_, _ = fmt.Fprintf(tw, "%.3f\t%d\t%d\t%d\t", float64(c.OnTime)/max(1, float64(c.Requests)),
+			requests := max(1, float64(c.Requests))
+			_, _ = fmt.Fprintf(tw, "%.4f\t%.4f\t%.4f\t%d\t%d\t%d\t",
+				float64(c.OnTime)/requests, float64(c.Late)/requests, float64(c.Refused)/requests,
 				percentile(c.firstTokenTimes, 50).Milliseconds(), percentile(c.firstTokenTimes, 95).Milliseconds(),
 				percentile(c.maxGaps, 95).Milliseconds())
 		}
--- a/coltstrade/trade_runner.go
+++ b/coltstrade/trade_runner.go
@@ -38,6 +38,10 @@
 	onFirstToken func()
 	onEvent      func(gap time.Duration)
 	onDone       func(maxGap time.Duration)
+	// failed is set when the runner has crashed. onFailed is called then, or if the runner was
+	// down when the request arrived.
+	failed   bool
+	onFailed func(arrived bool)
 }
 
 // runner is one upstream with a simulated inference engine.
@@ -53,6 +57,16 @@
 	cachedTokens int
 	running      []*runnerRequest
 	waiting      []*runnerRequest
+	// held holds all requests that have arrived and not ended, and heldTokens the sum of their
+	// contextTokens.
+	held       []*runnerRequest
+	heldTokens int
+	// down is set while the runner is crashed. coldUntil is until when its steps take coldFactor
+	// times as long, and crashes the number of its crashes.
+	down       bool
+	coldUntil  time.Time
+	coldFactor float64
+	crashes    int
 	// stepping is set while a step is running.
 	stepping bool
 }
@@ -153,7 +167,15 @@
 			float64(chunk) * float64(prefilling.prefilled+chunk/2) / 1e6 * float64(r.engine.AttentionTime),
 		)
 	}
-	r.scheduler.after(time.Duration(float64(duration)*r.slowFactor), func() {
+	factor := r.slowFactor
+	if r.scheduler.now.Before(r.coldUntil) {
+		factor *= r.coldFactor
+	}
+	crashes := r.crashes
+	r.scheduler.after(time.Duration(float64(duration)*factor), func() {
+		if r.crashes != crashes {
+			return
+		}
 		r.finishStep(prefilling, chunk)
 		r.step()
 	})
--- a/coltstrade/trade_scenario.go
+++ b/coltstrade/trade_scenario.go
@@ -9,6 +9,7 @@
 // made for.
 
 import (
+	"slices"
 	"time"
 
 	"coltsfootstall/coltsidentity"
@@ -34,6 +35,9 @@
 	Timeout     time.Duration
 	// Priority is the priority of the route; 0 is the highest.
 	Priority int
+	// PeakFactor multiplies the arrival rate in the middle third in place of the scenario's
+	// factor; 0 means the scenario's.
+	PeakFactor float64
 	// Value is the value of an answer that is on time, and LateValue that of a late one.
 	Value     float64
 	LateValue float64
@@ -54,7 +58,9 @@
 	Usage string
 	// Gateways is the number of gateways.
 	Gateways int
-	Runners  int
+	// UnevenGateways is set if gateways receive one, two or three shares of the requests in turn.
+	UnevenGateways bool
+	Runners        int
 	// DataCentres are the data centres. Runners and the stores of each kind are assigned
 	// to them in turn.
 	DataCentres []coltsidentity.DataCentre
@@ -66,6 +72,15 @@
 	// SlowRunners is the number of runners whose steps take SlowFactor times as long.
 	SlowRunners int
 	SlowFactor  float64
+	// HotSessions is the number of sessions of each class that receive HotShare of its requests
+	// in addition to their ordinary ones.
+	HotSessions int
+	HotShare    float64
+	// LoadAge is how long the loads of the other gateways are under way, in addition to the time
+	// since the others' last reports, which is up to syncPeriod.
+	LoadAge time.Duration
+	// Crash describes runners that crash during the simulation.
+	Crash Crash
 	// Engine describes the engine of every runner.
 	Engine EngineParams
 	// RecomputePrice is the price of a thousand recomputed tokens, in the unit of Class.Value.
@@ -74,6 +89,18 @@
 	RecomputePrice float64
 }
 
+// Crash describes a crash of a quarter of the runners, which lose their requests and caches. A
+// request that is sent to a crashed runner is refused there and sent to another one.
+type Crash struct {
+	// After is the time from the start of the simulation until the crash; 0 means that there
+	// is none. The runners return after Down.
+	After time.Duration
+	Down  time.Duration
+	// Cold is how long the steps of a runner that has returned take ColdFactor times as long.
+	Cold       time.Duration
+	ColdFactor float64
+}
+
 // EngineParams describes the capacity and speed of an inference engine.
 type EngineParams struct {
 	// Slots is the number of requests that can run at the same time.
@@ -105,6 +132,14 @@
 	"grown":  largeScenario(),
 	"crest":  baseScenario("twice the arrival rate in the middle third", 2, 0),
 	"slowed": baseScenario("three of eighteen runners take four times as long", 1, 3),
+
+	"customer-a":        customerA("bursts of long reviews and short questions", Crash{}),
+	"customer-a-dark":   customerA("a quarter of the runners is down for three seconds", darkQuarter),
+	"customer-a-cold":   customerA("a quarter of the runners restarts and is slow for three seconds", coldQuarter),
+	"customer-a-uneven": unevenA(),
+	"customer-b":        customerB("uneven runners, gateways and sessions, and twelve slots", Crash{}),
+	"customer-b-dark":   customerB("a quarter of the uneven runners is down for three seconds", darkQuarter),
+	"customer-b-cold":   customerB("a quarter of the uneven runners restarts and is slow for three seconds", coldQuarter),
 }
 
 // largeScenario returns a scenario with as many gateways as runners, so that each gateway
@@ -158,3 +193,69 @@
 		},
 	}
 }
+
+// darkQuarter and coldQuarter crash a quarter of the runners. A restart of a process takes a
+// fraction of a second, one of a machine some seconds.
+var (
+	darkQuarter = Crash{After: 3 * time.Second, Down: 3 * time.Second}
+	coldQuarter = Crash{After: 3 * time.Second, Down: 300 * time.Millisecond, Cold: 3 * time.Second, ColdFactor: 4}
+)
+
+// customerLoadAge makes the loads of the other gateways 50 to 150 ms old, 100 ms in the mean.
+const customerLoadAge = 50 * time.Millisecond
+
+// customerA returns a scenario with the load and the instances of customer A of docs/HARD-LOAD.md:
+// many gateways, and bursts of long and short requests. Its duration is one wave of the arrival rate.
+func customerA(usage string, crash Crash) Scenario {
+	s := customerScenario("customer A: "+usage, crash, 5)
+	s.Gateways, s.Runners = 84, 90
+	s.Engine.Slots, s.Engine.CacheTokens = 48, 100_815
+	setClass(&s.Classes[0], 118, 2*time.Second, 15*time.Second, 2.5)
+	setClass(&s.Classes[1], 346, 400*time.Millisecond, 12*time.Second, 1.7)
+	setClass(&s.Classes[2], 206, 500*time.Millisecond, 3*time.Second, 1)
+	for i := range s.Classes {
+		s.Classes[i].GapGoal = 400 * time.Millisecond
+	}
+	return s
+}
+
+// unevenA returns the scenario of customer A with runners of different speed.
+func unevenA() Scenario {
+	s := customerA("a third of the runners takes twice as long", Crash{})
+	s.SlowRunners, s.SlowFactor = 30, 2
+	return s
+}
+
+// customerB returns a scenario with the load and the instances of customer B of docs/HARD-LOAD.md:
+// few slots, and uneven gateways, runners and sessions.
+func customerB(usage string, crash Crash) Scenario {
+	s := customerScenario("customer B: "+usage, crash, 7)
+	s.Gateways, s.Runners, s.UnevenGateways = 29, 140, true
+	s.SlowRunners, s.SlowFactor = 35, 1.6
+	s.HotSessions, s.HotShare = 5, 0.2
+	s.Engine.Slots, s.Engine.CacheTokens = 12, 82_486
+	setClass(&s.Classes[0], 210, 800*time.Millisecond, 10*time.Second, 1.5)
+	setClass(&s.Classes[1], 282, 800*time.Millisecond, 10*time.Second, 1.5)
+	setClass(&s.Classes[2], 409, 1200*time.Millisecond, 2500*time.Millisecond, 1.5)
+	return s
+}
+
+// customerScenario returns the base scenario with several times its sessions and stores, for the
+// duration of one wave of the arrival rate.
+func customerScenario(usage string, crash Crash, factor int) Scenario {
+	s := baseScenario(usage, 1, 0)
+	s.Duration, s.LoadAge, s.Crash = wavePeriod, customerLoadAge, crash
+	s.Classes, s.Stores = slices.Clone(s.Classes), slices.Clone(s.Stores)
+	for i := range s.Classes {
+		s.Classes[i].Sessions *= factor
+	}
+	for i := range s.Stores {
+		s.Stores[i].Count *= factor
+	}
+	return s
+}
+
+// setClass sets the figures in which customers differ.
+func setClass(c *Class, arrivals float64, latencyGoal, timeout time.Duration, peakFactor float64) {
+	c.ArrivalsPerSecond, c.LatencyGoal, c.Timeout, c.PeakFactor = arrivals, latencyGoal, timeout, peakFactor
+}
--- a/coltstrade/trade_simulation.go
+++ b/coltstrade/trade_simulation.go
@@ -12,7 +12,6 @@
 	"coltsfootstall/coltsbalance"
 	"coltsfootstall/coltsforward"
 	"coltsfootstall/coltsidentity"
-	"coltsfootstall/coltsregistry"
 	"coltsfootstall/coltsroute"
 	"coltsfootstall/coltsstore"
 )
@@ -40,6 +39,9 @@
 	// AdjustDemand changes the demand of each request before a runner is chosen; nil for no
 	// change.
 	AdjustDemand func(*coltsbalance.Demand)
+	// WaitsForLimit is set if long requests are queued for as long as their own time limit allows
+	// an answer within the goal, not for a multiple of their goal.
+	WaitsForLimit bool
 }
 
 // Variants returns the variants to compare. The first one is the product's own configuration.
@@ -100,6 +102,8 @@
 		})
 	}
 	sim.scheduler.every(evictionPeriod, end, sim.evictFromStores)
+	sim.scheduler.every(imbalancePeriod, end, sim.measureImbalance)
+	sim.scheduleCrash()
 	for class := range s.Classes {
 		sim.scheduleArrival(class)
 	}
@@ -137,7 +141,7 @@
 	for i := range sim.scenario.Runners {
 		r := &runner{
 			scheduler: sim.scheduler, engine: sim.scenario.Engine,
-			id: coltsidentity.Upstream(fmt.Sprintf("runner-%02d", i)), dataCentre: sim.dataCentre(i),
+			id: runnerID(i), dataCentre: sim.dataCentre(i),
 			slowFactor: 1, link: link{bitsPerSecond: sim.scenario.Engine.LinkBitsPerSecond},
 			cached: map[coltsstore.Key]*cachedPart{},
 		}
@@ -145,25 +149,28 @@
 			r.slowFactor = sim.scenario.SlowFactor
 		}
 		sim.runners[r.id] = r
-		for _, g := range sim.gateways {
-			g.balancer.Update(coltsregistry.Entry{Upstream: coltsregistry.Upstream{
-				ID: r.id, Service: sim.engine.Name, DataCentre: r.dataCentre, Slots: sim.scenario.Engine.Slots,
-				StartedAt: startTime,
-			}})
-		}
+		sim.publish(r, startTime, false)
 	}
 }
 
+func runnerID(i int) coltsidentity.Upstream {
+	return coltsidentity.Upstream(fmt.Sprintf("runner-%02d", i))
+}
+
 func (sim *simulation) dataCentre(i int) coltsidentity.DataCentre {
 	return sim.scenario.DataCentres[i%len(sim.scenario.DataCentres)]
 }
 
 // arrivalRateFactor returns the current arrival rate as a multiple of the mean rate.
-func (sim *simulation) arrivalRateFactor() float64 {
+func (sim *simulation) arrivalRateFactor(class int) float64 {
 	elapsed := sim.scheduler.now.Sub(startTime)
 	factor := 1 + waveAmplitude*math.Sin(2*math.Pi*elapsed.Seconds()/wavePeriod.Seconds())
 	if third := sim.scenario.Duration / 3; elapsed >= third && elapsed < 2*third {
-		factor *= sim.scenario.PeakFactor
+		peak := sim.scenario.Classes[class].PeakFactor
+		if peak == 0 {
+			peak = sim.scenario.PeakFactor
+		}
+		factor *= peak
 	}
 	return factor
 }
@@ -171,7 +178,7 @@
 // scheduleArrival schedules the next arrival of a class. The gaps between arrivals are
 // exponentially distributed.
 func (sim *simulation) scheduleArrival(class int) {
-	gap := sim.rng.ExpFloat64() / (sim.scenario.Classes[class].ArrivalsPerSecond * sim.arrivalRateFactor())
+	gap := sim.rng.ExpFloat64() / (sim.scenario.Classes[class].ArrivalsPerSecond * sim.arrivalRateFactor(class))
 	sim.scheduler.after(time.Duration(gap*float64(time.Second)), func() {
 		if sim.scheduler.now.After(startTime.Add(sim.scenario.Duration)) {
 			return
@@ -190,6 +197,9 @@
 func (sim *simulation) createRequest(class int) {
 	c := sim.scenario.Classes[class]
 	session := sim.rng.IntN(c.Sessions)
+	if sim.scenario.HotSessions > 0 && sim.rng.Float64() < sim.scenario.HotShare {
+		session = sim.rng.IntN(sim.scenario.HotSessions)
+	}
 	// The generator is seeded with the session, because the shared part of a session
 	// always has the same size.
 	shared := sim.randomSize(c.SharedTokens, rand.New(rand.NewPCG(uint64(session), uint64(class))))
@@ -210,15 +220,29 @@
 		panic(err)
 	}
 	sim.result.countArrival(class)
-	sim.gateways[sim.rng.IntN(len(sim.gateways))].handle(request, &requestTiming{
-		class: class, arrived: sim.scheduler.now,
-	})
+	sim.randomGateway().handle(request, &requestTiming{class: class, arrived: sim.scheduler.now})
+}
+
+// randomGateway returns the gateway of a request.
+func (sim *simulation) randomGateway() *gateway {
+	n := len(sim.gateways)
+	i := sim.rng.IntN(n)
+	if sim.scenario.UnevenGateways {
+		// Each third gateway keeps one, two or all three thirds of what it draws.
+		for sim.rng.IntN(3) > i%3 {
+			i = sim.rng.IntN(n)
+		}
+	}
+	return sim.gateways[i]
 }
 
 // startRequest fetches parts of a prompt to a runner as planned and queues the request at
 // the runner when the transfers have ended. The runner prefills the rest of the prompt,
 // which has promptTokens in total.
 func (sim *simulation) startRequest(r *runner, req *runnerRequest, plan coltsstore.Plan, promptTokens int) {
+	if !r.hold(req) {
+		return
+	}
 	now := sim.scheduler.now
 	readyAt, cachedTokens := now, 0
 	for i := range req.parts {
@@ -236,10 +260,15 @@
 	req.toPrefill, req.prefilled = max(1, promptTokens-cachedTokens), cachedTokens
 	onDone := req.onDone
 	req.onDone = func(maxGap time.Duration) {
+		r.release(req)
 		sim.saveParts(r, req.parts, plan.Save)
 		onDone(maxGap)
 	}
-	sim.scheduler.at(readyAt, func() { r.enqueue(req) })
+	sim.scheduler.at(readyAt, func() {
+		if !req.failed {
+			r.enqueue(req)
+		}
+	})
 }
 
 // fetchPart transfers a part from a store to a runner and returns when the transfer ends.
--- a/coltstrade/trade_test.go
+++ b/coltstrade/trade_test.go
@@ -72,6 +72,25 @@
 	})
 }
 
+// Guards against requests that a crash of runners loses from the figures, or runners that stay unused after it.
+func TestCrash(t *testing.T) {
+	s := smallScenario(t)
+	s.Crash = Crash{After: 5 * time.Second, Down: 3 * time.Second, Cold: 3 * time.Second, ColdFactor: 4}
+	s.LoadAge, s.UnevenGateways, s.HotSessions, s.HotShare = 200*time.Millisecond, true, 2, 0.2
+	r := Simulate(s, Variants()[0], 1)
+	assertAllCompleted(t, r)
+	refused := 0
+	for _, c := range r.Classes {
+		refused += c.Refused
+	}
+	t.Run("the requests that ran there are lost", func(t *testing.T) { assert.Assert(t, refused > 0) })
+	t.Run("the imbalance is measured for all runners that are up", func(t *testing.T) {
+		p95, overTwice := r.Imbalance()
+		assert.Assert(t, p95 > 1 && overTwice > 0 && overTwice < 0.5, "p95 %.2f, over twice the mean %.3f", p95, overTwice)
+		assert.Assert(t, len(r.imbalance) < int(s.Duration/imbalancePeriod)*s.Runners)
+	})
+}
+
 func TestTransfer(t *testing.T) {
 	links := func() (*link, *link) { return &link{bitsPerSecond: 8e3}, &link{bitsPerSecond: 8e4} }
 	t.Run("a link carries one transfer after another", func(t *testing.T) {
@@ -108,6 +127,10 @@
 }
 
 func TestFind(t *testing.T) {
+	t.Run("the error for an unknown variant suggests a similar name", func(t *testing.T) {
+		_, err := findVariants([]string{"curent"})
+		assert.ErrorContains(t, err, "current")
+	})
 	t.Run("the error for an unknown scenario suggests a similar name", func(t *testing.T) {
 		_, err := Find("clam")
 		assert.ErrorContains(t, err, "calm")
