Count choices whose upstream turned out to be overloaded

An operator could not see whether a gateway's choices, made from stale load reports, meet at the same upstreams. A choice itself costs one counter.

--- a/coltsbalance/balance_upstream.go
+++ b/coltsbalance/balance_upstream.go
@@ -167,6 +167,8 @@
 	// the sum of their weights.
 	running int
 	load    float64
+	// chosen is the number of choices since the last comparison of loads.
+	chosen int
 	// heardAt is when this instance last got a byte from the upstream; zero if it never has.
 	// waitingSince is since when it has been waiting for one.
 	heardAt      time.Time
--- a/coltsbalance/balancer.go
+++ b/coltsbalance/balancer.go
@@ -21,6 +21,7 @@
 	cfg Config
 	// roundRobin counts the choices of the round-robin policy.
 	roundRobin atomic.Uint64
+	imbalance  imbalance
 	shards     [coltsshard.Count]balancerShard
 }
 
@@ -272,6 +273,7 @@
 		u.waitingSince = now
 	}
 	u.running++
+	u.chosen++
 	u.load += d.Weight
 	u.prefill += d.Prefill
 	return Choice{
@@ -353,4 +355,5 @@
 		}
 		s.mu.Unlock()
 	}
+	b.measureImbalance(now)
 }
--- a/coltsgateway/control_reply.go
+++ b/coltsgateway/control_reply.go
@@ -46,6 +46,9 @@
 			w.applyStores(reply, askedAt)
 		}
 		w.g.balancer.SetPeerLoads(coltswire.DecodeLoads(reply.GetLoads(), now), now)
+		imbalance := w.g.balancer.TakeImbalance()
+		w.g.metrics.Add(coltsmetric.ChoicesCompared, imbalance.Compared)
+		w.g.metrics.Add(coltsmetric.ChoicesOverloaded, imbalance.Overloaded)
 		w.g.capacityFreed.Broadcast()
 		w.mergeSuspects(reply, now)
 		w.applyPoison(reply, now)
--- a/coltsmetric/metric_table.go
+++ b/coltsmetric/metric_table.go
@@ -52,6 +52,8 @@
 	FailedUnknown          = Metric{"failed-unknown", "requests", "requests that failed and may have run"}
 	StreamsBroken          = Metric{"streams-broken", "streams", "streams that ended before their last event"}
 	RequestsAtHome         = Metric{"requests-at-home", "requests", "requests sent to the runner that their shared parts lead to"}
+	ChoicesCompared        = Metric{"choices-compared", "choices", "choices of upstreams whose load was compared with the mean of their service at the next load report"}
+	ChoicesOverloaded      = Metric{"choices-overloaded", "choices", "of those, choices whose upstream turned out to have more than twice the mean"}
 	Panics                 = Metric{"unexpected-errors", "errors", "requests and loops ended by a panic; the log has the stacks"}
 	BuffersExhausted       = Metric{"buffers-exhausted", "messages", "messages given up because the memory for buffers was used up"}
 	PartsBlocked           = Metric{"parts-blocked", "parts", "parts of prompts that crash upstreams; prompts with them are refused"}
@@ -68,7 +70,7 @@
 	Requests, Refused, RequestsUnderWay, CallerDisconnects, Attempts, Retries, Resumes, WrongRequestIDs, SilentConnections,
 	StreamedParts, TokensComputed, TokensReused, FirstTokenMicros, FirstTokens, Lookups, Exports, ExportsFailed,
 	Announcements, UntrustedAnnouncements, Upstreams, CacheEvents, Grants, Replays, SettleRetries, Revision, LastContactMillis,
-	RoutesVersion, WatchFailures, RefusedNotRun, FailedUnknown, StreamsBroken, RequestsAtHome, Panics, BuffersExhausted, PartsBlocked, UpstreamsLeft, Pauses,
+	RoutesVersion, WatchFailures, RefusedNotRun, FailedUnknown, StreamsBroken, RequestsAtHome, ChoicesCompared, ChoicesOverloaded, Panics, BuffersExhausted, PartsBlocked, UpstreamsLeft, Pauses,
 	LogLinesDropped,
 	UsageBatches, Commands, JournalSyncs, Snapshots,
 }
