Report prompts that are not prefilled with more weight, by a setting

Gateways know which prompts are being prefilled only for their own requests, a small share of all. In the load reports such a prompt looks like a stream, so many gateways add prompts to a runner that has several to prefill, and callers wait for their first token.

The default, "held", reports what was reported before.

coltsload trade gets the variants prefill-reported, wait-for-limit and slots-counted, several numbers of gateways in one call, and a plot.

--- a/coltsbalance/balancer.go
+++ b/coltsbalance/balancer.go
@@ -22,7 +22,9 @@
 	// roundRobin counts the choices of the round-robin policy.
 	roundRobin atomic.Uint64
 	imbalance  imbalance
-	shards     [coltsshard.Count]balancerShard
+	// loadAge is the duration that RecordLoadAge got last.
+	loadAge atomic.Int64
+	shards  [coltsshard.Count]balancerShard
 }
 
 type balancerShard struct {
@@ -48,6 +50,8 @@
 type Config struct {
 	// Policy is the load-balancing policy; empty means PolicyLeastLoaded.
 	Policy Policy
+	// Estimate says how loads are reported to the other instances; empty means EstimateHeld.
+	Estimate Estimate
 	// Random returns a random number from 0 to n-1; nil means rand.IntN.
 	Random func(n int) int
 }
@@ -332,7 +336,7 @@
 		s.mu.Lock()
 		for id, u := range s.upstreams {
 			if u.load > 0 {
-				loads = append(loads, Load{Upstream: id, Amount: u.load, HeardAt: u.heardAt, WaitingSince: u.waitingSince})
+				loads = append(loads, Load{Upstream: id, Amount: b.reportedLoad(u), HeardAt: u.heardAt, WaitingSince: u.waitingSince})
 			}
 		}
 		s.mu.Unlock()
--- a/coltsgateway/control_reply.go
+++ b/coltsgateway/control_reply.go
@@ -46,6 +46,7 @@
 			w.applyStores(reply, askedAt)
 		}
 		w.g.balancer.SetPeerLoads(coltswire.DecodeLoads(reply.GetLoads(), now), now)
+		w.g.balancer.RecordLoadAge(now.Sub(askedAt))
 		imbalance := w.g.balancer.TakeImbalance()
 		w.g.metrics.Add(coltsmetric.ChoicesCompared, imbalance.Compared)
 		w.g.metrics.Add(coltsmetric.ChoicesOverloaded, imbalance.Overloaded)
--- a/coltsgateway/gateway.go
+++ b/coltsgateway/gateway.go
@@ -120,7 +120,7 @@
 		routes:    coltsroute.NewRegister(),
 		weights:   coltsweights.NewRegister(),
 		balancer: coltsbalance.New(coltsbalance.Config{
-			Policy: coltsbalance.Policy(cfg.Settings.Gateway.RoutingPolicy),
+			Policy: coltsbalance.Policy(cfg.Settings.Gateway.RoutingPolicy), Estimate: coltsbalance.Estimate(cfg.Settings.Gateway.LoadEstimate),
 		}),
 		suspects:      coltsattempt.NewQuarantine(coltsattempt.QuarantineConfig{Crashes: crashesToQuarantine}),
 		poison:        coltspoison.NewObserver(),
--- a/coltssettings/settings.go
+++ b/coltssettings/settings.go
@@ -81,6 +81,7 @@
 	ControlPort  int              `json:"control-port" unit:"port" min:"1" usage:"port of the control instances for other instances"`
 
 	RoutingPolicy string `json:"routing-policy" unit:"policy" usage:"how an upstream is chosen: least-loaded, or round-robin to compare with"`
+	LoadEstimate  string `json:"load-estimate" unit:"estimate" usage:"load that the other gateways learn: held, or prefill to count prompts that are not prefilled yet more than once; the same for all gateways"`
 	KeepCache     bool   `json:"keep-cache" unit:"" usage:"save parts of prompts in stores and fetch them; false reads them always"`
 
 	BufferBytes int `json:"buffer-bytes" unit:"bytes" min:"1048576" usage:"memory that the bodies of long requests and responses may take together while they are buffered"`
@@ -125,6 +126,7 @@
 			ControlPort:  8090,
 
 			RoutingPolicy: "least-loaded",
+			LoadEstimate:  "held",
 			KeepCache:     true,
 			BufferBytes:   32 << 20,
 
--- a/coltssettings/settings_table.go
+++ b/coltssettings/settings_table.go
@@ -153,6 +153,10 @@
 		c.add("gateway/routing-policy", "is %q, expected one of %v%s", s.Gateway.RoutingPolicy,
 			coltsbalance.Policies(), coltsjsonc.Suggest(s.Gateway.RoutingPolicy, coltsbalance.Policies()))
 	}
+	if !slices.Contains(coltsbalance.Estimates(), s.Gateway.LoadEstimate) {
+		c.add("gateway/load-estimate", "is %q, expected one of %v%s", s.Gateway.LoadEstimate,
+			coltsbalance.Estimates(), coltsjsonc.Suggest(s.Gateway.LoadEstimate, coltsbalance.Estimates()))
+	}
 	if len(s.Gateway.Seeds) == 0 {
 		c.add("gateway/seeds", "is empty, expected at least one address")
 	}
--- a/coltstrade/trade_command.go
+++ b/coltstrade/trade_command.go
@@ -54,7 +54,8 @@
 		Flags: []cli.Flag{
 			&cli.IntFlag{Name: "seeds", Usage: "simulate each variant with `N` seeds", Value: 1},
 			&cli.StringSliceFlag{Name: "variant", Usage: "simulate only the variants with these `NAMES`"},
-			&cli.IntFlag{Name: "gateways", Usage: "set the number of gateways to `N`"},
+			&cli.IntSliceFlag{Name: "gateways", Usage: "simulate each variant with these `NUMBERS` of gateways"},
+			&cli.StringFlag{Name: "plot", Usage: "write a plot of the scores by number of gateways to the SVG `FILE`"},
 			&cli.DurationFlag{Name: "load-age", Usage: "set the additional age of load reports to `DURATION`"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
@@ -62,8 +63,9 @@
 			if err != nil {
 				return err
 			}
+			gateways := []int{s.Gateways}
 			if c.IsSet("gateways") {
-				s.Gateways = c.Int("gateways")
+				gateways = c.IntSlice("gateways")
 			}
 			if c.IsSet("load-age") {
 				s.LoadAge = c.Duration("load-age")
@@ -74,8 +76,15 @@
 			}
 			var results []*Result
 			for _, v := range variants {
-				for seed := range c.Int("seeds") {
-					results = append(results, Simulate(s, v, uint64(seed+1)))
+				for _, s.Gateways = range gateways {
+					for seed := range c.Int("seeds") {
+						results = append(results, Simulate(s, v, uint64(seed+1)))
+					}
+				}
+			}
+			if file := c.String("plot"); file != "" {
+				if err := Plot(file, c.Args().First(), results); err != nil {
+					return err
 				}
 			}
 			_, _ = fmt.Fprintf(c.Root().Writer, "%s: %s\n\n", c.Args().First(), s.Usage)
--- a/coltstrade/trade_gateway.go
+++ b/coltstrade/trade_gateway.go
@@ -67,7 +67,10 @@
 	if g.sim.scenario.LoadAge == 0 {
 		g.balancer.SetPeerLoads(others, now)
 	} else {
-		g.sim.scheduler.after(g.sim.scenario.LoadAge, func() { g.balancer.SetPeerLoads(others, g.sim.scheduler.now) })
+		g.sim.scheduler.after(g.sim.scenario.LoadAge, func() {
+			g.balancer.SetPeerLoads(others, g.sim.scheduler.now)
+			g.balancer.RecordLoadAge(g.sim.scenario.LoadAge)
+		})
 	}
 	for more := true; more; {
 		delta := g.sim.catalogue.Since(g.position, maxStoreChanges)
@@ -92,6 +95,9 @@
 		}
 	}
 	demand := request.Demand(inputs, g.sim.scheduler.now)
+	if g.sim.variant.CountsSlots {
+		demand.Weight = max(demand.Weight, float64(g.sim.scenario.Engine.CacheTokens/g.sim.scenario.Engine.Slots))
+	}
 	if g.sim.variant.AdjustDemand != nil {
 		g.sim.variant.AdjustDemand(&demand)
 	}
--- a/coltstrade/trade_result.go
+++ b/coltstrade/trade_result.go
@@ -28,7 +28,9 @@
 // Result holds the results of a simulation.
 type Result struct {
 	Variant Variant
-	Classes []ClassResult
+	// Gateways is copied from the scenario.
+	Gateways int
+	Classes  []ClassResult
 	// RecomputePrice is copied from the scenario.
 	RecomputePrice float64
 	// PrefilledTokens is the number of tokens in shareable parts that were prefilled,
@@ -79,7 +81,7 @@
 }
 
 func newResult(s Scenario, v Variant) *Result {
-	r := &Result{Variant: v, RecomputePrice: s.RecomputePrice}
+	r := &Result{Variant: v, Gateways: s.Gateways, RecomputePrice: s.RecomputePrice}
 	for _, c := range s.Classes {
 		r.Classes = append(r.Classes, ClassResult{Class: c})
 	}
@@ -137,14 +139,14 @@
 // milliseconds.
 func WriteTable(w io.Writer, results []*Result) error {
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprint(tw, "variant\tscore\trecomputed\ttransferred\tbusiest link\tload p95\tover twice\t")
+	_, _ = fmt.Fprint(tw, "variant\tgateways\tscore\trecomputed\ttransferred\tbusiest link\tload p95\tover twice\t")
 	for _, c := range results[0].Classes {
 		_, _ = fmt.Fprintf(tw, "%s on time\tlate\trefused\tfirst token p50\tp95\tmax gap p95\t", c.Name)
 	}
 	_, _ = fmt.Fprintln(tw)
 	for _, r := range results {
 		p95, overTwice := r.Imbalance()
-		_, _ = fmt.Fprintf(tw, "%s\t%.4f\t%dk\t%dk\t%.2f\t%.2f\t%.4f\t", r.Variant.Name, r.Score(),
+		_, _ = fmt.Fprintf(tw, "%s\t%d\t%.4f\t%dk\t%dk\t%.2f\t%.2f\t%.4f\t", r.Variant.Name, r.Gateways, r.Score(),
 			r.RecomputedTokens/1000, r.TransferredTokens/1000, r.MaxLinkUtilization, p95, overTwice)
 		for _, c := range r.Classes {
 			requests := max(1, float64(c.Requests))
--- a/coltstrade/trade_simulation.go
+++ b/coltstrade/trade_simulation.go
@@ -34,11 +34,16 @@
 	Usage string
 	// Policy is the load-balancing policy; empty means coltsbalance.PolicyLeastLoaded.
 	Policy coltsbalance.Policy
+	// Estimate says how gateways report their loads; empty means coltsbalance.EstimateHeld.
+	Estimate coltsbalance.Estimate
 	// UseStores is set if prompt parts are saved in stores and fetched from there.
 	UseStores bool
 	// AdjustDemand changes the demand of each request before a runner is chosen; nil for no
 	// change.
 	AdjustDemand func(*coltsbalance.Demand)
+	// CountsSlots is set if each request weighs at least one slot's share of a runner's KV cache,
+	// so that a runner without a free slot has no room.
+	CountsSlots bool
 	// WaitsForLimit is set if long requests are queued for as long as their own time limit allows
 	// an answer within the goal, not for a multiple of their goal.
 	WaitsForLimit bool
@@ -55,6 +60,12 @@
 					d.Limit = 0.9
 				}
 			}},
+		{Name: "prefill-reported", Usage: "gateways report prompts that are not prefilled yet with more weight", UseStores: true,
+			Estimate: coltsbalance.EstimatePrefill},
+		{Name: "wait-for-limit", Usage: "long requests wait for room as long as their time limit allows", UseStores: true,
+			WaitsForLimit: true},
+		{Name: "slots-counted", Usage: "each request weighs at least a runner's memory for one slot", UseStores: true,
+			CountsSlots: true},
 		{Name: "recompute", Usage: "nothing is fetched or saved"},
 		{Name: "round-robin-recompute", Usage: "round-robin choice of runners, nothing is fetched or saved",
 			Policy: coltsbalance.PolicyRoundRobin},
@@ -135,7 +146,9 @@
 		sim.gateways = append(sim.gateways, &gateway{
 			sim: sim, id: coltsidentity.Instance(fmt.Sprint("entry-", i)),
 			queue: coltsbalance.NewQueue(), stores: coltsstore.NewDirectory(),
-			balancer: coltsbalance.New(coltsbalance.Config{Policy: sim.variant.Policy, Random: random.IntN}),
+			balancer: coltsbalance.New(coltsbalance.Config{
+				Policy: sim.variant.Policy, Estimate: sim.variant.Estimate, Random: random.IntN,
+			}),
 		})
 	}
 	for i := range sim.scenario.Runners {
