Split the set-up of the fleet test

revive limits the statements of a function, and the test had one too many. Nothing else changes; go test -race ./coltsbalance ./coltstrade ./coltsgateway passes.

--- a/coltsbalance/balance_estimate_test.go
+++ b/coltsbalance/balance_estimate_test.go
@@ -21,12 +21,8 @@
 	fleetAbsent = 15
 )
 
-// fleet has instances with stale loads send one request each in every round. It returns the greatest
-// number of requests that each upstream holds as a multiple of the mean, for each round in which all
-// upstreams are in use.
-func fleet(t *testing.T, seed uint64, estimate Estimate) []float64 {
-	t.Helper()
-	random := rand.New(rand.NewPCG(seed, 0))
+// fleetBalancers returns the balancers of the instances, which know all upstreams and the first as silent.
+func fleetBalancers(random *rand.Rand, estimate Estimate) []*Balancer {
 	balancers := make([]*Balancer, fleetInstances)
 	for i := range balancers {
 		balancers[i] = New(Config{Estimate: estimate, Random: random.IntN})
@@ -36,6 +32,16 @@
 			balancers[i].Update(e)
 		}
 	}
+	return balancers
+}
+
+// fleet has instances with stale loads send one request each in every round. It returns the greatest
+// number of requests that each upstream holds as a multiple of the mean, for each round in which all
+// upstreams are in use.
+func fleet(t *testing.T, seed uint64, estimate Estimate) []float64 {
+	t.Helper()
+	random := rand.New(rand.NewPCG(seed, 0))
+	balancers := fleetBalancers(random, estimate)
 	type sent struct {
 		b      *Balancer
 		choice Choice
