--- a/coltsbalance/balancer.go
+++ b/coltsbalance/balancer.go
@@ -28,7 +28,10 @@
 	coldWaits     atomic.Int64
 	// informedAt is when the leader last told the loads of the other instances; nil if it never has.
 	informedAt atomic.Pointer[time.Time]
-	shards     [coltsshard.Count]balancerShard
+	imbalance  imbalance
+	// loadAge is the duration that RecordLoadAge got last.
+	loadAge atomic.Int64
+	shards  [coltsshard.Count]balancerShard
 }
 
 type balancerShard struct {
@@ -56,6 +59,8 @@
 	Policy Policy
 	// LoadEstimate says how the load of the other instances is estimated; empty means EstimateNewest.
 	LoadEstimate LoadEstimate
+	// LoadReport says how loads are reported to the other instances; empty means ReportHeld.
+	LoadReport LoadReport
 	// Random returns a random number from 0 to n-1; nil means rand.IntN.
 	Random func(n int) int
 }
@@ -317,6 +322,7 @@
 		u.waitingSince = now
 	}
 	u.running++
+	u.chosen++
 	u.load += d.Weight
 	u.prefill += d.Prefill
 	return Choice{
@@ -375,7 +381,7 @@
 		s.mu.Lock()
 		for id, u := range s.upstreams {
 			if u.load > 0 {
-				loads = append(loads, Load{Upstream: id, Amount: u.load, HeardAt: u.heardAt, WaitingSince: u.waitingSince})
+				loads = append(loads, Load{Upstream: id, Amount: b.reportedLoad(u), HeardAt: u.heardAt, WaitingSince: u.waitingSince})
 			}
 		}
 		s.mu.Unlock()
@@ -400,4 +406,5 @@
 		}
 		s.mu.Unlock()
 	}
+	b.measureImbalance(now)
 }
--- a/coltsgateway/control_reply.go
+++ b/coltsgateway/control_reply.go
@@ -50,6 +50,10 @@
 		}
 		w.applyPermits(reply, now, askedAt)
 		w.g.balancer.SetPeerLoads(coltswire.DecodeLoads(reply.GetLoads(), now), now)
+		w.g.balancer.RecordLoadAge(now.Sub(askedAt))
+		imbalance := w.g.balancer.TakeImbalance()
+		w.g.metrics.Add(coltsmetric.ChoicesCompared, imbalance.Compared)
+		w.g.metrics.Add(coltsmetric.ChoicesOverloaded, imbalance.Overloaded)
 		w.g.capacityFreed.Broadcast()
 		w.mergeSuspects(reply, now)
 		w.applyPoison(reply, now)
--- a/coltsgateway/gateway.go
+++ b/coltsgateway/gateway.go
@@ -122,6 +122,7 @@
 		balancer: coltsbalance.New(coltsbalance.Config{
 			Policy:       coltsbalance.Policy(cfg.Settings.Gateway.RoutingPolicy),
 			LoadEstimate: coltsbalance.LoadEstimate(cfg.Settings.Gateway.LoadEstimate),
+			LoadReport:   coltsbalance.LoadReport(cfg.Settings.Gateway.LoadReport),
 		}),
 		suspects:      coltsattempt.NewQuarantine(coltsattempt.QuarantineConfig{Crashes: crashesToQuarantine}),
 		poison:        coltspoison.NewObserver(),
--- a/coltssettings/settings.go
+++ b/coltssettings/settings.go
@@ -84,6 +84,7 @@
 
 	RoutingPolicy string `json:"routing-policy" unit:"policy" usage:"how an upstream is chosen: least-loaded, or round-robin to compare with"`
 	LoadEstimate  string `json:"load-estimate" unit:"estimate" usage:"how the load that other instances have at application servers is estimated: newest, as last reported, or averaged, over about a second, with the upstream drawn at random by it"`
+	LoadReport    string `json:"load-report" unit:"report" usage:"load that the other gateways learn: held, or prefill to count prompts that are not prefilled yet more than once; the same for all gateways"`
 	KeepCache     bool   `json:"keep-cache" unit:"" usage:"save parts of prompts in stores and fetch them; false reads them always"`
 
 	BufferBytes int `json:"buffer-bytes" unit:"bytes" min:"1048576" usage:"memory that the bodies of long requests and responses may take together while they are buffered"`
@@ -129,6 +130,7 @@
 
 			RoutingPolicy: "least-loaded",
 			LoadEstimate:  "newest",
+			LoadReport:    "held",
 			KeepCache:     true,
 			BufferBytes:   32 << 20,
 
--- a/coltssettings/settings_table.go
+++ b/coltssettings/settings_table.go
@@ -157,6 +157,10 @@
 		c.add("gateway/load-estimate", "is %q, expected one of %v%s", s.Gateway.LoadEstimate,
 			coltsbalance.LoadEstimates(), coltsjsonc.Suggest(s.Gateway.LoadEstimate, coltsbalance.LoadEstimates()))
 	}
+	if !slices.Contains(coltsbalance.LoadReports(), s.Gateway.LoadReport) {
+		c.add("gateway/load-report", "is %q, expected one of %v%s", s.Gateway.LoadReport,
+			coltsbalance.LoadReports(), coltsjsonc.Suggest(s.Gateway.LoadReport, coltsbalance.LoadReports()))
+	}
 	if len(s.Gateway.Seeds) == 0 {
 		c.add("gateway/seeds", "is empty, expected at least one address")
 	}
--- a/coltstrade/trade_gateway.go
+++ b/coltstrade/trade_gateway.go
@@ -5,7 +5,6 @@
 // gateways and the changes of the catalogue.
 
 import (
-	"errors"
 	"fmt"
 	"time"
 
@@ -64,7 +63,15 @@
 func (g *gateway) sync() {
 	now := g.sim.scheduler.now
 	g.sim.loads.Report(g.id, g.balancer.Loads(), now)
-	g.balancer.SetPeerLoads(g.sim.loads.Others(g.id, now), now)
+	others := g.sim.loads.Others(g.id, now)
+	if g.sim.scenario.LoadAge == 0 {
+		g.balancer.SetPeerLoads(others, now)
+	} else {
+		g.sim.scheduler.after(g.sim.scenario.LoadAge, func() {
+			g.balancer.SetPeerLoads(others, g.sim.scheduler.now)
+			g.balancer.RecordLoadAge(g.sim.scenario.LoadAge)
+		})
+	}
 	for more := true; more; {
 		delta := g.sim.catalogue.Since(g.position, maxStoreChanges)
 		g.stores.Receive(delta, now)
@@ -88,6 +95,9 @@
 		}
 	}
 	demand := request.Demand(inputs, g.sim.scheduler.now)
+	if g.sim.variant.CountsSlots {
+		demand.Weight = max(demand.Weight, float64(g.sim.scenario.Engine.CacheTokens/g.sim.scenario.Engine.Slots))
+	}
 	if g.sim.variant.AdjustDemand != nil {
 		g.sim.variant.AdjustDemand(&demand)
 	}
@@ -111,7 +121,11 @@
 		ticket: g.queue.Join(request.Service, request.Priority(), request.DispatchDeadline()),
 	}
 	g.queued = append(g.queued, q)
-	g.sim.scheduler.at(request.QueueDeadline(), func() { g.expire(q) })
+	deadline := request.QueueDeadline()
+	if g.sim.variant.WaitsForLimit {
+		deadline = request.Deadline().Add(-request.Route.LatencyGoal)
+	}
+	g.sim.scheduler.at(deadline, func() { g.expire(q) })
 }
 
 // dequeue removes a request from the queue and reports whether it was still queued.
@@ -143,8 +157,7 @@
 				continue
 			}
 			choice, err := g.balancer.Choose(g.demand(q.request), g.sim.scheduler.now)
-			var full *coltsbalance.FullError
-			if errors.As(err, &full) {
+			if err != nil {
 				return
 			}
 			g.dequeue(q)
@@ -180,6 +193,15 @@
 		g.sim.result.countAnswer(timing, maxGap)
 		g.dispatchQueued()
 	}
+	req.onFailed = func(arrived bool) {
+		g.balancer.Done(choice, coltsbalance.OutcomeFailed, g.sim.scheduler.now)
+		if arrived {
+			g.sim.result.countRefusal(timing.class)
+			return
+		}
+		request.CountAttempt(choice.Upstream.ID)
+		g.handle(request, timing)
+	}
 	g.sim.scheduler.after(networkDelay, func() { g.sim.startRequest(r, req, plan, request.Inbound.PromptTokens) })
 }
 
