Test that unfinished requests don't exceed a gateway's memory or descriptors

Callers that open many connections with unfinished bodies make a gateway run out of memory. The tests open 400 connections at a gateway whose settings name 96 MB and 1,024 descriptors, and 600 at one with 500 descriptors. The bounds are what the settings name.

--- /dev/null
+++ b/coltscrowd/gateway_test.go
@@ -0,0 +1,97 @@
+package coltscrowd
+
+// Guards against a gateway that runs out of memory or descriptors because many clients send unfinished
+// requests and stay. The bounds are what the settings name.
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// machine is the size of the gateway's machine in these tests, few a machine with fewer descriptors than
+// the crowd has connections.
+var (
+	machine = limits{memoryMegabytes: 96, descriptors: 1024}
+	few     = limits{memoryMegabytes: 96, descriptors: 500}
+)
+
+const (
+	chunked  = "Transfer-Encoding: chunked"
+	chunkKB  = 256
+	bodySize = 1 << 20
+)
+
+// largeChunks returns n chunks of chunkKB kilobytes each.
+func largeChunks(n int) string {
+	return strings.Repeat(fmt.Sprintf("%x\r\n%s\r\n", chunkKB<<10, strings.Repeat("a", chunkKB<<10)), n)
+}
+
+// assertWithstands opens a crowd at a gateway on a machine and asserts that the gateway lives, stays
+// within the machine, and answers ordinary requests while the crowd is there.
+func assertWithstands(t *testing.T, m limits, crowd int, path string, headers []string, begin, repeated string, repeatedBytes int) {
+	t.Helper()
+	i := startInstances(t, limits{}, m)
+	highest := i.gateway.watchDescriptors()
+	openCrowd(t, i.callerAddr, crowd, func() string { return requestHead(path, headers...) + begin }, repeated, repeatedBytes)
+	i.assertServed("/book/", strings.Repeat("a", 4<<10))
+	i.assertServed("/once/", strings.Repeat("a", 4<<10))
+	i.gateway.assertAlive()
+	memory, descriptors := i.gateway.peakMemory(), highest()
+	t.Logf("peak memory %d MB, most descriptors %d", memory>>20, descriptors)
+	assert.Check(t, memory < m.memoryMegabytes<<20, "peak memory is %d MB", memory>>20)
+	assert.Check(t, descriptors < m.descriptors, "%d descriptors were open", descriptors)
+}
+
+func TestUnfinishedRequests(t *testing.T) {
+	const crowd = 400
+	for _, c := range []struct {
+		name          string
+		headers       []string
+		begin         string
+		repeated      string
+		repeatedBytes int
+	}{
+		{"large chunks that stop before the last byte", []string{chunked}, largeChunks(3) + fmt.Sprintf("%x\r\n", chunkKB<<10), "a", chunkKB<<10 - 1},
+		{"large chunks that stop in the last chunk's line", []string{chunked}, largeChunks(4) + "0", "", 0},
+		{"a large chunk that stops at once", []string{chunked}, "400000\r\n", "", 0},
+		{"chunks of one byte that stop before the last byte", []string{chunked}, strings.Repeat("1\r\na\r\n", 96<<10) + "1\r\n", "", 0},
+		{"an endless chunk extension", []string{chunked}, "1;", "a", bodySize},
+		{"endless extensions of small chunks", []string{chunked}, "", "1;aaaaaaaaaaaaaa\r\na\r\n", bodySize},
+		{"endless trailers", []string{chunked}, "1\r\na\r\n0\r\n", "A: b\r\n", bodySize},
+		{"a body with a length that stops before the last byte", []string{fmt.Sprintf("Content-Length: %d", bodySize)}, "", "a", bodySize - 1},
+		{"a body with a length that stops at once", []string{"Content-Length: 4194304"}, "", "", 0},
+		{"a small body that stops before the last byte", []string{"Content-Length: 30000"}, "", "a", 29999},
+	} {
+		for _, path := range []string{"/book/", "/once/"} {
+			t.Run(c.name+" at "+path, func(t *testing.T) {
+				assertWithstands(t, machine, crowd, path, c.headers, c.begin, c.repeated, c.repeatedBytes)
+			})
+		}
+	}
+	t.Run("a head that stops", func(t *testing.T) {
+		header := "X-Long: " + strings.Repeat("a", 15<<10) + "\r\nX-Unfinished: "
+		i := startInstances(t, limits{}, machine)
+		openCrowd(t, i.callerAddr, crowd, func() string { return strings.TrimSuffix(requestHead("/book/"), "\r\n") + header }, "", 0)
+		i.assertServed("/book/", "a")
+		assert.Check(t, i.gateway.peakMemory() < machine.memoryMegabytes<<20)
+	})
+}
+
+func TestConnectionsBeyondDescriptors(t *testing.T) {
+	const crowd = 600
+	t.Run("connections that send nothing", func(t *testing.T) {
+		i := startInstances(t, limits{}, few)
+		highest := i.gateway.watchDescriptors()
+		openCrowd(t, i.callerAddr, crowd, func() string { return "" }, "", 0)
+		i.assertServed("/book/", "a")
+		most := highest()
+		t.Logf("most descriptors %d", most)
+		assert.Check(t, most < few.descriptors, "%d descriptors were open", most)
+	})
+	t.Run("connections with unfinished bodies", func(t *testing.T) {
+		assertWithstands(t, few, crowd, "/book/", []string{"Content-Length: 100"}, "a", "", 0)
+	})
+}
