--- a/coltssettings/settings.go
+++ b/coltssettings/settings.go
@@ -17,7 +17,7 @@
 	DataCentre  string  `json:"data-centre" unit:"name" usage:"data centre in which this instance runs"`
 	LogLevel    string  `json:"log-level" unit:"level" usage:"least level that is logged: debug, info, warning or error"`
 	LogJSON     bool    `json:"log-json" unit:"" usage:"log JSON objects rather than text"`
-	MemoryMB    int     `json:"memory-megabytes" unit:"megabytes" min:"0" usage:"memory of the machine that the process may use, from which its memory for buffers follows; 0 for not given"`
+	MemoryMB    float64 `json:"memory-megabytes" unit:"megabytes" min:"0" usage:"memory of the machine that the process may use, from which its memory for buffers follows; 0 for not given"`
 	Descriptors int     `json:"descriptors" unit:"descriptors" min:"0" usage:"descriptors that the process may have open; 0 for the process's own limit"`
 	Entry       Entry   `json:"entry" usage:"settings of an entry instance"`
 	Gateway     Gateway `json:"gateway" usage:"settings of a gateway instance"`
