Keep a gateway within its machine when callers send unfinished requests

Callers that opened many connections with unfinished bodies took a gateway beyond its memory and descriptors. A chunk's declared length was allocated before any of it had arrived, the first 32 KB of each message were not counted, and nothing bounded the open connections.

Bodies are now read into a buffer that grows by what has arrived and is counted by its capacity before it grows. With memory-megabytes the budget follows from the memory and counts connections, heads, bodies, responses and the copies of stream events; the runtime gets a memory limit above it. Long responses are no longer copied behind their head. If memory or descriptors are short, coltsbuffer chooses which connections end: idle ones, then those that make no progress. What a connection is doing is kept in atomic fields, which replaces two locks in each request. Metric connections-shed, and a log line at most once a second.

TestLongBodiesAtOnce declared 1 MB in each request and sent 1,000 bytes, which was refused because the declared length was taken at once. That no longer takes 1 MB, so the requests now send all but their last byte; at most as many as fit may stay, and the bound on the heap is unchanged. Requests that grow at the same time may refuse each other, so fewer than that may stay, but at least one does.

--- a/coltscommand/command_instance.go
+++ b/coltscommand/command_instance.go
@@ -7,12 +7,14 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
+	"coltsfootstall/coltsbuffer"
 	"coltsfootstall/coltscontrol"
 	"coltsfootstall/coltsentry"
 	"coltsfootstall/coltsgateway"
@@ -22,6 +24,9 @@
 	"coltsfootstall/platform"
 )
 
+// bytesPerMegabyte is the smaller of the two usual sizes, so that no machine is taken for a larger one.
+const bytesPerMegabyte = 1_000_000
+
 func commandEntry() *cli.Command {
 	return &cli.Command{
 		Name:  "entry",
@@ -149,6 +154,11 @@
 		return err
 	}
 	log := newLog(c, settings)
+	if megabytes := settings.MemoryMB; megabytes > 0 {
+		// Within the budget for buffers the heap stays below this limit, and the collector runs as often
+		// as without it.
+		debug.SetMemoryLimit(int64(coltsbuffer.RuntimeLimit(int(megabytes * bytesPerMegabyte))))
+	}
 	gateway := coltsgateway.New(coltsgateway.Config{Settings: settings, Dialect: platform.Dialect(), Log: log})
 	return runInstance(ctx, c, log, instance{start: gateway.Start, shutdown: gateway.Shutdown, reload: gateway.Reload})
 }
--- a/coltsgateway/caller_conn.go
+++ b/coltsgateway/caller_conn.go
@@ -57,6 +57,7 @@
 			g.log.Warn("A connection could not be accepted.", coltslog.Fields{
 				"error": err, "open": g.openConns.count(),
 			})
+			g.shed(coltsbuffer.Need{Connections: max(1, g.openConns.count()/shedBatchShare)})
 			time.Sleep(acceptRetryPause)
 			continue
 		}
@@ -66,6 +67,11 @@
 			continue
 		}
 		c := newCallerConn(g, conn)
+		if !g.admit(c) {
+			g.countRefused()
+			_ = conn.Close() // an error here needs no handling
+			continue
+		}
 		g.callers.Go(c.serve)
 	}
 }
@@ -75,37 +81,59 @@
 	g  *Gateway
 	nc *coltswatch.Conn
 	br *bufio.Reader
-	// share is what the body of the current request takes of the memory for buffers, received
-	// the number of bytes read from the connection since that request began.
-	share    *coltsbuffer.Share
-	received int
+	// base is what the connection takes of the memory for buffers as long as it is open, share what the
+	// current request takes besides.
+	base  *coltsbuffer.Share
+	share *coltsbuffer.Share
+	state connState
 }
 
 func newCallerConn(g *Gateway, nc *coltswatch.Conn) *callerConn {
-	c := &callerConn{g: g, nc: nc, share: g.buffers.NewShare()}
-	c.br = bufio.NewReaderSize((*meteredReader)(c), callerReadBytes)
+	c := &callerConn{g: g, nc: nc, base: g.buffers.NewShare(), share: g.buffers.NewShare()}
+	c.br = bufio.NewReaderSize((*countingReader)(c), callerReadBytes)
 	return c
 }
 
-// meteredReader reads from a caller's connection. It fails if the current request has become too
-// long for the memory that is left for buffers.
-type meteredReader callerConn
+// errShed reports that the connection was chosen to end, to free memory or descriptors.
+var errShed = errors.New("the connection makes no progress, and memory or descriptors are short")
+
+// countingReader reads from a caller's connection and counts what arrives. It fails once the connection
+// was chosen to end.
+type countingReader callerConn
 
 // Read reads from the connection.
-func (r *meteredReader) Read(p []byte) (int, error) {
-	n, err := r.nc.Read(p)
-	r.received += n
-	if growErr := r.share.Grow(r.received); growErr != nil {
-		return n, growErr
+func (r *countingReader) Read(p []byte) (int, error) {
+	// The flag is set before the deadline that ends a read, which the connection's own goroutine may
+	// replace by a later one.
+	if r.state.phase() == coltsbuffer.PhaseShed {
+		return 0, errShed
 	}
+	n, err := r.nc.Read(p)
+	r.state.received.Add(int64(n))
 	return n, err
 }
 
+// endRead ends the pending read.
+func (c *callerConn) endRead() {
+	// An error means that the connection is closed, and then its read has ended already.
+	_ = c.nc.SetReadDeadline(time.Unix(1, 0))
+}
+
+// grow takes memory so that the current request may hold size bytes.
+func (c *callerConn) grow(size int) error {
+	if err := c.share.Grow(size); err != nil {
+		return err
+	}
+	c.state.held.Store(int64(c.g.connBytes + size))
+	return nil
+}
+
 // serve serves requests until the connection ends. An unexpected error ends this connection alone.
 func (c *callerConn) serve() {
 	defer func() {
 		c.share.Release()
-		c.g.openConns.remove(c.nc)
+		c.base.Release()
+		c.g.openConns.remove(c)
 		_ = c.nc.Close() // an error here needs no handling
 	}()
 	defer func() {
@@ -120,7 +148,6 @@
 		// An idle connection keeps no body, which would not count in the memory for buffers.
 		req.ResetBody()
 		c.share.Release()
-		c.received = 0
 		if !reusable {
 			return
 		}
@@ -136,13 +163,16 @@
 
 // awaitRequest waits for the first byte of the next request and reports whether it arrived.
 func (c *callerConn) awaitRequest() bool {
+	c.state.held.Store(int64(c.g.connBytes))
+	c.state.received.Store(int64(c.br.Buffered()))
 	if c.br.Buffered() > 0 {
-		return true
+		return c.state.enter(coltsbuffer.PhaseReading, c.g.now())
 	}
 	// On a closed connection the reads below fail, so errors of setting deadlines need no handling.
 	_ = c.nc.SetReadDeadline(c.g.now().Add(c.limits().IdleTimeout))
-	c.g.openConns.setIdle(c.nc, true)
-	defer c.g.openConns.setIdle(c.nc, false)
+	if !c.state.enter(coltsbuffer.PhaseIdle, c.g.now()) {
+		return false
+	}
 	var err error
 	if !c.g.closing.Load() {
 		_, err = c.br.Peek(1)
@@ -152,7 +182,7 @@
 		_ = c.nc.SetReadDeadline(c.g.now().Add(closeLinger))
 		_, err = c.br.Peek(1)
 	}
-	return err == nil
+	return err == nil && c.state.enter(coltsbuffer.PhaseReading, c.g.now())
 }
 
 // serveOne reads and serves one request and reports whether the connection can serve another.
@@ -166,6 +196,9 @@
 	if err := c.readBody(req, limits); err != nil {
 		return c.refuseUnread(err)
 	}
+	if !c.state.enter(coltsbuffer.PhaseServing, c.g.now()) {
+		return c.refuseUnread(errShed)
+	}
 	_ = c.nc.SetReadDeadline(time.Time{})
 	f := &forwarding{
 		g: c.g, conn: c, req: req, closeConn: req.Header.ConnectionClose() || !req.Header.IsHTTP11(),
@@ -183,7 +216,9 @@
 	err := req.Header.Read(c.br)
 	var smallBuffer *fasthttp.ErrSmallBuffer
 	if errors.As(err, &smallBuffer) && c.br.Size() < limits.MaxHeaderBytes {
-		c.enlarge(limits.MaxHeaderBytes)
+		if err := c.enlarge(limits.MaxHeaderBytes); err != nil {
+			return err
+		}
 		err = req.Header.Read(c.br)
 	}
 	if errors.As(err, &smallBuffer) {
@@ -197,9 +232,17 @@
 
 // enlarge replaces the read buffer by a larger one that starts with the bytes already
 // buffered.
-func (c *callerConn) enlarge(size int) {
+func (c *callerConn) enlarge(size int) error {
+	// The connection keeps the larger buffer and the parsed head, so their part stays taken as long as it
+	// is open.
+	if c.g.connBytes > 0 {
+		if err := c.base.Grow(c.g.connBytes + 2*size + callerReadBytes); err != nil {
+			return err
+		}
+	}
 	buffered, _ := c.br.Peek(c.br.Buffered()) // peeking at buffered bytes can't fail
-	c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), (*meteredReader)(c)), size+callerReadBytes)
+	c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), (*countingReader)(c)), size+callerReadBytes)
+	return nil
 }
 
 // checkFraming refuses a head whose end or body length another parser might read differently.
@@ -243,15 +286,41 @@
 			return err
 		}
 	}
-	// The parser allocates a body of known length as a whole.
-	if n := req.Header.ContentLength(); n <= limits.MaxBodyBytes {
-		if err := c.share.Grow(n); err != nil {
+	b := &bodyReader{br: c.br, limit: limits.MaxBodyBytes, grow: c.grow}
+	switch n := req.Header.ContentLength(); {
+	case n == framingUntilClose:
+		// A request without either header has no body.
+		if !req.Header.IsGet() && !req.Header.IsHead() {
+			req.Header.SetContentLength(0)
+		}
+		return nil
+	case n == framingChunked:
+		if err := c.readChunkedBody(b, req); err != nil {
+			return err
+		}
+	default:
+		b.total = n
+		if err := b.read(n); err != nil {
 			return err
 		}
 	}
-	err := req.ContinueReadBody(c.br, limits.MaxBodyBytes, false)
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-		return &badRequestError{status: fasthttp.StatusRequestEntityTooLarge, reason: "its body is too long"}
+	if len(b.content) > 0 {
+		req.SetBodyRaw(b.content)
+	}
+	return nil
+}
+
+// readChunkedBody reads a chunked body and its trailer.
+func (c *callerConn) readChunkedBody(b *bodyReader, req *fasthttp.Request) error {
+	if err := b.readChunks(); err != nil {
+		return err
+	}
+	if len(b.content) == 0 {
+		req.Header.SetContentLength(0)
+	}
+	err := req.Header.ReadTrailer(c.br)
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
 	}
 	return err
 }
@@ -270,8 +339,12 @@
 func (c *callerConn) refuseUnread(err error) bool {
 	var bad *badRequestError
 	var exhausted *coltsbuffer.ExhaustedError
+	// The memory of the refused request is free before the caller has read the response.
+	c.share.Release()
 	switch {
 	case errors.As(err, &bad):
+	case errors.Is(err, errShed) || c.state.phase() == coltsbuffer.PhaseShed:
+		bad = &badRequestError{status: fasthttp.StatusServiceUnavailable, reason: errShed.Error()}
 	case errors.As(err, &exhausted):
 		c.g.metrics.Add(coltsmetric.BuffersExhausted, 1)
 		bad = &badRequestError{status: fasthttp.StatusServiceUnavailable, reason: exhausted.Error()}
@@ -294,7 +367,7 @@
 	text = append(text, "Connection: close\r\nContent-Length: 0\r\n\r\n"...)
 	// A write error means that the caller has closed the connection and can't receive the
 	// response.
-	if _, err := c.nc.Write(text); err == nil {
+	if _, err := c.nc.Write(text); err == nil && c.state.phase() != coltsbuffer.PhaseShed {
 		c.discardUnread()
 	}
 	return false
--- a/coltsgateway/forward_buffered.go
+++ b/coltsgateway/forward_buffered.go
@@ -29,9 +29,9 @@
 		return newAttemptError(coltsattempt.PhaseSent, coltsbalance.OutcomeAnswered,
 			"upstream %s answered status %d and may have run the request", f.choice.Upstream.ID, status)
 	}
-	text := f.encodeResponse(x, status, content)
+	text, rest := f.encodeResponse(x, status, content)
 	if status >= fasthttp.StatusInternalServerError && f.lifecycle.Route.Idempotent() {
-		f.fallback, f.status = text, status
+		f.fallback, f.fallbackRest, f.status = text, rest, status
 		return newAttemptError(coltsattempt.PhaseSent, coltsbalance.OutcomeAnswered,
 			"upstream %s answered status %d", f.choice.Upstream.ID, status)
 	}
@@ -39,7 +39,7 @@
 	if status < fasthttp.StatusMultipleChoices {
 		f.g.poison.RecordAnswer(f.parts, f.g.now())
 	}
-	f.completed = f.write(text)
+	f.completed = f.writeResponse(text, rest)
 	return nil
 }
 
@@ -51,19 +51,33 @@
 	}
 }
 
-// encodeResponse returns a buffered response as it is sent to the caller.
-func (f *forwarding) encodeResponse(x *exchange, status int, content []byte) []byte {
-	text := appendStatusLine(make([]byte, 0, len(content)+512), status)
+// copiedBytes is the longest content that is copied behind the head of its response, so that both are
+// sent with one write. A longer one would take its memory twice.
+const copiedBytes = 32 << 10
+
+// encodeResponse returns a buffered response as it is sent to the caller, in two parts: the second one is
+// empty or the content.
+func (f *forwarding) encodeResponse(x *exchange, status int, content []byte) (text, rest []byte) {
+	copied := content
+	if len(content) > copiedBytes {
+		copied, rest = nil, content
+	}
+	text = appendStatusLine(make([]byte, 0, len(copied)+512), status)
 	text = f.g.dialect.AppendResponseHeaders(text, x.resp)
 	f.closeConn = f.closeConn || f.g.isDraining()
 	if status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
-		return finishHead(text, f.closeConn)
+		return finishHead(text, f.closeConn), nil
 	}
 	n := len(content)
 	if f.req.Header.IsHead() {
 		n = max(0, x.resp.ContentLength())
 	}
-	return append(finishHeadWithLength(text, n, f.closeConn), content...)
+	return append(finishHeadWithLength(text, n, f.closeConn), copied...), rest
+}
+
+// writeResponse sends both parts of a response to the caller and reports whether that succeeded.
+func (f *forwarding) writeResponse(text, rest []byte) bool {
+	return f.write(text) && (len(rest) == 0 || f.write(rest))
 }
 
 // write sends text to the caller and reports whether that succeeded.
--- a/coltsgateway/forward_request.go
+++ b/coltsgateway/forward_request.go
@@ -47,6 +47,8 @@
 	// fallback is an upstream's error response that is passed on if no later attempt succeeds;
 	// nil for none.
 	fallback []byte
+	// fallbackRest is the second part of that response.
+	fallbackRest []byte
 	// status is the status of the response, firstAt when its first part was ready to be passed
 	// on. Both are for the log.
 	status  int
@@ -160,7 +162,7 @@
 		return false
 	}
 	if f.fallback != nil {
-		return f.write(f.fallback) && !f.closeConn
+		return f.writeResponse(f.fallback, f.fallbackRest) && !f.closeConn
 	}
 	return f.refuse(f.lifecycle.Inbound.ID, refused)
 }
--- a/coltsgateway/forward_stream.go
+++ b/coltsgateway/forward_stream.go
@@ -77,7 +77,8 @@
 		if len(s.buffer) >= maxEventBytes {
 			return false, errors.Errorf("an event has more than %d bytes", maxEventBytes)
 		}
-		if err := s.f.buffered.Grow(2 * cap(s.buffer)); err != nil {
+		// What is sent to the caller is a copy of the same size.
+		if err := s.f.buffered.Grow(4 * cap(s.buffer)); err != nil {
 			s.f.countExhausted(err)
 			return false, err
 		}
--- a/coltsgateway/gateway.go
+++ b/coltsgateway/gateway.go
@@ -41,6 +41,8 @@
 	// refused. A request that happened to be running on two upstreams when another request
 	// crashed them is still served.
 	crashesToQuarantine = 3
+	// bytesPerMegabyte is the smaller of the two usual sizes, so that no machine is taken for a larger one.
+	bytesPerMegabyte = 1_000_000
 )
 
 // Config is the configuration of a gateway instance.
@@ -79,7 +81,12 @@
 	pool   *coltspool.Pool
 	// buffers bounds the memory for bodies that are buffered.
 	buffers *coltsbuffer.Budget
-	watcher *controlWatcher
+	// connBytes is what each open connection takes of it; 0 if the size of the machine is not known.
+	connBytes int
+	// maxConns bounds the open connections of callers; 0 for no bound but that of the system.
+	maxConns int
+	shedding shedder
+	watcher  *controlWatcher
 	// seeds are the addresses used to find control; Reload replaces them.
 	seeds atomic.Pointer[[]netip.AddrPort]
 	// instances is the number of entry instances that share the retry budget.
@@ -139,7 +146,16 @@
 			UnbufferedWrites: true,
 			Dial:             dialUpstream,
 		}),
-		buffers: coltsbuffer.NewBudget(cfg.Settings.Gateway.BufferBytes),
+	}
+	budget := coltsbuffer.FixedSize(cfg.Settings.Gateway.BufferBytes)
+	if megabytes := cfg.Settings.MemoryMB; megabytes > 0 {
+		budget = coltsbuffer.ForMemory(int(megabytes * bytesPerMegabyte))
+		g.connBytes = coltsbuffer.ConnectionBytes
+	}
+	budget.MakeRoom = g.makeRoom
+	g.buffers = coltsbuffer.New(budget)
+	if n := cfg.Settings.Descriptors; n > 0 {
+		g.maxConns = coltsbuffer.MaxConnections(n)
 	}
 	g.instances.Store(1)
 	g.seeds.Store(&g.settings.Seeds)
