--- a/coltscrowd/gateway_test.go
+++ b/coltscrowd/gateway_test.go
@@ -29,13 +29,24 @@
 	return strings.Repeat(fmt.Sprintf("%x\r\n%s\r\n", chunkKB<<10, strings.Repeat("a", chunkKB<<10)), n)
 }
 
-// assertWithstands opens a crowd at a gateway on a machine and asserts that the gateway lives, stays
-// within the machine, and answers ordinary requests while the crowd is there.
-func assertWithstands(t *testing.T, m limits, crowd int, path string, headers []string, begin, repeated string, repeatedBytes int) {
+// unfinished is a request that begins with header lines and a text, goes on with a repeated text up to a
+// number of bytes, and then stops.
+type unfinished struct {
+	name          string
+	headers       []string
+	begin         string
+	repeated      string
+	repeatedBytes int
+}
+
+// assertWithstands opens a crowd of connections with unfinished requests at a gateway on a machine and
+// asserts that the gateway lives, stays within the machine, and answers ordinary requests while the crowd
+// is there.
+func assertWithstands(t *testing.T, m limits, crowd int, path string, u unfinished) {
 	t.Helper()
 	i := startInstances(t, limits{}, m)
 	highest := i.gateway.watchDescriptors()
-	openCrowd(t, i.callerAddr, crowd, func() string { return requestHead(path, headers...) + begin }, repeated, repeatedBytes)
+	openCrowd(t, i.callerAddr, crowd, func() string { return requestHead(path, u.headers...) + u.begin }, u.repeated, u.repeatedBytes)
 	i.assertServed("/book/", strings.Repeat("a", 4<<10))
 	i.assertServed("/once/", strings.Repeat("a", 4<<10))
 	i.gateway.assertAlive()
@@ -47,13 +58,7 @@
 
 func TestUnfinishedRequests(t *testing.T) {
 	const crowd = 400
-	for _, c := range []struct {
-		name          string
-		headers       []string
-		begin         string
-		repeated      string
-		repeatedBytes int
-	}{
+	for _, u := range []unfinished{
 		{"large chunks that stop before the last byte", []string{chunked}, largeChunks(3) + fmt.Sprintf("%x\r\n", chunkKB<<10), "a", chunkKB<<10 - 1},
 		{"large chunks that stop in the last chunk's line", []string{chunked}, largeChunks(4) + "0", "", 0},
 		{"a large chunk that stops at once", []string{chunked}, "400000\r\n", "", 0},
@@ -66,8 +71,8 @@
 		{"a small body that stops before the last byte", []string{"Content-Length: 30000"}, "", "a", 29999},
 	} {
 		for _, path := range []string{"/book/", "/once/"} {
-			t.Run(c.name+" at "+path, func(t *testing.T) {
-				assertWithstands(t, machine, crowd, path, c.headers, c.begin, c.repeated, c.repeatedBytes)
+			t.Run(u.name+" at "+path, func(t *testing.T) {
+				assertWithstands(t, machine, crowd, path, u)
 			})
 		}
 	}
@@ -92,6 +97,6 @@
 		assert.Check(t, most < few.descriptors, "%d descriptors were open", most)
 	})
 	t.Run("connections with unfinished bodies", func(t *testing.T) {
-		assertWithstands(t, few, crowd, "/book/", []string{"Content-Length: 100"}, "a", "", 0)
+		assertWithstands(t, few, crowd, "/book/", unfinished{headers: []string{"Content-Length: 100"}, begin: "a"})
 	})
 }
--- a/coltscrowd/process_test.go
+++ b/coltscrowd/process_test.go
@@ -171,6 +171,8 @@
 	gateway     *process
 	serviceAddr netip.AddrPort
 	callerAddr  netip.AddrPort
+	// operatorAddr is that of the gateway.
+	operatorAddr netip.AddrPort
 }
 
 // limits is the part of the settings of an instance that names the size of its machine.
@@ -182,7 +184,8 @@
 	t.Helper()
 	addr := newSubnet()
 	c, g := addr(11), addr(101)
-	i := &instances{t: t, serviceAddr: netip.AddrPortFrom(c, servicePort), callerAddr: netip.AddrPortFrom(g, callerPort)}
+	i := &instances{t: t, serviceAddr: netip.AddrPortFrom(c, servicePort), callerAddr: netip.AddrPortFrom(g, callerPort),
+		operatorAddr: netip.AddrPortFrom(g, operatorPort)}
 	i.control = startProcess(t, "control", fmt.Sprintf(`{"instance":"control-1","data-centre":"z","memory-megabytes":%d,"descriptors":%d,
 "control":{"address":"%[3]s:%[4]d","operator-address":"%[3]s:%[5]d","service-address":%[6]q,"data-folder":%[7]q,"seeds":[%[6]q],"founds":true,"order-wait":"0s"}}`,
 		control.memoryMegabytes, control.descriptors, c, controlPort, operatorPort, i.serviceAddr, t.TempDir()))
--- a/coltsstructure/structure_test.go
+++ b/coltsstructure/structure_test.go
@@ -23,7 +23,7 @@
 
 // decisionPackages lists the packages that make decisions.
 var decisionPackages = []string{
-	"coltsattempt", "coltsbalance", "coltsbooking", "coltscache", "coltsdocument", "coltsfleet", "coltsforward",
+	"coltsattempt", "coltsbalance", "coltsbooking", "coltsbuffer", "coltscache", "coltsdocument", "coltsfleet", "coltsforward",
 	"coltsidentity", "coltsmembership", "coltsobjective", "coltsorder", "coltsorganisation", "coltsregistry",
 	"coltsreplica", "coltsrequest", "coltsroute", "coltsrouting", "coltsshard", "coltsstate", "coltsstore",
 	"coltsusage", "coltsweights",
