--- /dev/null
+++ b/coltscrowd/gateway_test.go
@@ -0,0 +1,114 @@
+package coltscrowd
+
+// Guards against a gateway that runs out of memory or descriptors because many clients send unfinished
+// requests and stay. The bounds are what the settings name.
+
+import (
+	"fmt"
+	"strings"
+	"syscall"
+	"testing"
+	"unsafe"
+
+	"gotest.tools/v3/assert"
+)
+
+// machine is the size of the gateway's machine in these tests, few a machine with fewer descriptors than
+// the crowd has connections.
+var (
+	machine = limits{memoryMegabytes: 96, descriptors: 1024}
+	few     = limits{memoryMegabytes: 96, descriptors: 500}
+)
+
+const (
+	chunked  = "Transfer-Encoding: chunked"
+	chunkKB  = 256
+	bodySize = 1 << 20
+)
+
+// largeChunks returns n chunks of chunkKB kilobytes each.
+func largeChunks(n int) string {
+	return strings.Repeat(fmt.Sprintf("%x\r\n%s\r\n", chunkKB<<10, strings.Repeat("a", chunkKB<<10)), n)
+}
+
+// unfinished is a request that begins with header lines and a text, goes on with a repeated text up to a
+// number of bytes, and then stops.
+type unfinished struct {
+	name          string
+	headers       []string
+	begin         string
+	repeated      string
+	repeatedBytes int
+}
+
+// assertWithstands opens a crowd of connections with unfinished requests at a gateway on a machine and
+// asserts that the gateway lives, stays within the machine, and answers ordinary requests while the crowd
+// is there.
+func assertWithstands(t *testing.T, m limits, crowd int, path string, u unfinished) {
+	t.Helper()
+	i := startInstances(t, limits{}, m)
+	highest := i.gateway.watchDescriptors()
+	openCrowd(t, i.callerAddr, crowd, func() string { return requestHead(path, u.headers...) + u.begin }, u.repeated, u.repeatedBytes)
+	i.assertServed("/book/", strings.Repeat("a", 4<<10))
+	i.assertServed("/once/", strings.Repeat("a", 4<<10))
+	i.gateway.assertAlive()
+	memory, descriptors := i.gateway.peakMemory(), highest()
+	t.Logf("peak memory %d MB, most descriptors %d", memory>>20, descriptors)
+	assert.Check(t, memory < m.memoryMegabytes<<20, "peak memory is %d MB", memory>>20)
+	assert.Check(t, descriptors < m.descriptors, "%d descriptors were open", descriptors)
+}
+
+func TestUnfinishedRequests(t *testing.T) {
+	const crowd = 400
+	for _, u := range []unfinished{
+		{"large chunks that stop before the last byte", []string{chunked}, largeChunks(3) + fmt.Sprintf("%x\r\n", chunkKB<<10), "a", chunkKB<<10 - 1},
+		{"large chunks that stop in the last chunk's line", []string{chunked}, largeChunks(4) + "0", "", 0},
+		{"a large chunk that stops at once", []string{chunked}, "400000\r\n", "", 0},
+		{"chunks of one byte that stop before the last byte", []string{chunked}, strings.Repeat("1\r\na\r\n", 96<<10) + "1\r\n", "", 0},
+		{"an endless chunk extension", []string{chunked}, "1;", "a", bodySize},
+		{"endless extensions of small chunks", []string{chunked}, "", "1;aaaaaaaaaaaaaa\r\na\r\n", bodySize},
+		{"endless trailers", []string{chunked}, "1\r\na\r\n0\r\n", "A: b\r\n", bodySize},
+		{"a body with a length that stops before the last byte", []string{fmt.Sprintf("Content-Length: %d", bodySize)}, "", "a", bodySize - 1},
+		{"a body with a length that stops at once", []string{"Content-Length: 4194304"}, "", "", 0},
+		{"a small body that stops before the last byte", []string{"Content-Length: 30000"}, "", "a", 29999},
+	} {
+		for _, path := range []string{"/book/", "/once/"} {
+			t.Run(u.name+" at "+path, func(t *testing.T) {
+				assertWithstands(t, machine, crowd, path, u)
+			})
+		}
+	}
+	t.Run("a head that stops", func(t *testing.T) {
+		header := "X-Long: " + strings.Repeat("a", 15<<10) + "\r\nX-Unfinished: "
+		i := startInstances(t, limits{}, machine)
+		openCrowd(t, i.callerAddr, crowd, func() string { return strings.TrimSuffix(requestHead("/book/"), "\r\n") + header }, "", 0)
+		i.assertServed("/book/", "a")
+		assert.Check(t, i.gateway.peakMemory() < machine.memoryMegabytes<<20)
+	})
+}
+
+func TestConnectionsBeyondDescriptors(t *testing.T) {
+	const crowd = 600
+	t.Run("connections that send nothing", func(t *testing.T) {
+		i := startInstances(t, limits{}, few)
+		highest := i.gateway.watchDescriptors()
+		openCrowd(t, i.callerAddr, crowd, func() string { return "" }, "", 0)
+		i.assertServed("/book/", "a")
+		most := highest()
+		t.Logf("most descriptors %d", most)
+		assert.Check(t, most < few.descriptors, "%d descriptors were open", most)
+	})
+	t.Run("connections with unfinished bodies", func(t *testing.T) {
+		assertWithstands(t, few, crowd, "/book/", unfinished{headers: []string{"Content-Length: 100"}, begin: "a"})
+	})
+	t.Run("connections beyond the process's own limit", func(t *testing.T) {
+		i := startInstances(t, limits{}, limits{})
+		limit := syscall.Rlimit{Cur: 200, Max: 200}
+		_, _, errno := syscall.RawSyscall6(syscall.SYS_PRLIMIT64, uintptr(i.gateway.cmd.Process.Pid), syscall.RLIMIT_NOFILE,
+			uintptr(unsafe.Pointer(&limit)), 0, 0, 0)
+		assert.Equal(t, errno, syscall.Errno(0))
+		openCrowd(t, i.callerAddr, crowd, func() string { return "" }, "", 0)
+		i.assertServed("/book/", "a")
+		assert.Assert(t, metric(t, i.operatorAddr, "connections-shed") > 0)
+	})
+}
