Report as before until loads have come, and describe even load

A gateway that had no loads yet reported its prefill with more weight, also where loads turn out to be 2 s old. It now reports as with "held" until the first loads come in time.

go test -race ./coltsbalance ./coltstrade ./coltsgateway passes.

--- a/coltsbalance/balance_estimate_test.go
+++ b/coltsbalance/balance_estimate_test.go
@@ -26,6 +26,7 @@
 	balancers := make([]*Balancer, fleetInstances)
 	for i := range balancers {
 		balancers[i] = New(Config{Estimate: estimate, Random: random.IntN})
+		balancers[i].RecordLoadAge(0)
 		for u := range fleetUpstreams {
 			e := entry(fmt.Sprint("r", u), coltsregistry.StateReady, 1)
 			e.Silent = u == 0
@@ -108,6 +109,7 @@
 	for estimate, want := range map[Estimate]float64{"": 12, EstimateHeld: 12, EstimatePrefill: 12 + prefillFactor*9} {
 		t.Run(fmt.Sprintf("%q counts a prompt that is not prefilled as %.0f, and a prefilled one as 12", estimate, want), func(t *testing.T) {
 			b := New(Config{Estimate: estimate})
+			b.RecordLoadAge(0)
 			b.Update(entry("r0", coltsregistry.StateReady, 1))
 			c := choose(t, b, Demand{Weight: 12, Capacity: 100, Prefill: 9})
 			assert.Equal(t, b.Loads()[0].Amount, want)
--- a/coltsbalance/balancer.go
+++ b/coltsbalance/balancer.go
@@ -5,6 +5,7 @@
 // between, which makes the balance slightly worse but breaks no guarantee.
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -22,7 +23,7 @@
 	// roundRobin counts the choices of the round-robin policy.
 	roundRobin atomic.Uint64
 	imbalance  imbalance
-	// loadAge is the duration that RecordLoadAge got last.
+	// loadAge is the duration that RecordLoadAge got last; the longest one before the first call.
 	loadAge atomic.Int64
 	shards  [coltsshard.Count]balancerShard
 }
@@ -62,6 +63,7 @@
 		cfg.Random = rand.IntN
 	}
 	b := &Balancer{cfg: cfg}
+	b.loadAge.Store(math.MaxInt64)
 	for i := range b.shards {
 		b.shards[i].upstreams = map[coltsidentity.Upstream]*upstream{}
 	}
--- a/coltstrade/trade_gateway.go
+++ b/coltstrade/trade_gateway.go
@@ -66,6 +66,7 @@
 	others := g.sim.loads.Others(g.id, now)
 	if g.sim.scenario.LoadAge == 0 {
 		g.balancer.SetPeerLoads(others, now)
+		g.balancer.RecordLoadAge(0)
 	} else {
 		g.sim.scheduler.after(g.sim.scenario.LoadAge, func() {
 			g.balancer.SetPeerLoads(others, g.sim.scheduler.now)
