Answer gateways only once what was committed before a start is applied

Callers saw: after a loss of power of all processes one request reached the upstream of an evacuated data centre (TestEvacuationIsKept, once in one run of the whole package, load 31 on 7 cores).

Cause: an instance counted as fresh as soon as it led or knew a leader.

Change: Watch refuses the polls of gateways until the instance has applied an entry of the current leader's term since its start.

Evidence: go test ./coltscontrol passed; TestEvacuation*, TestRestart*, TestGroup, TestConfig and TestStart* of platform passed in two runs, load 31 to 37. The whole package was not run again after this change.

--- a/coltscontrol/driver_output.go
+++ b/coltscontrol/driver_output.go
@@ -74,7 +74,7 @@
 
 // apply applies a committed entry to the state machine and completes the pending command at its index.
 func (d *replicaDriver) apply(e coltsreplica.Entry) error {
-	d.appliedIndex = e.Index
+	d.appliedIndex, d.appliedTerm = e.Index, e.Term
 	var result coltsstate.Result
 	if e.Kind == coltsreplica.EntryCommand {
 		command, err := coltswire.UnmarshalCommand(e.Data)
@@ -176,6 +176,7 @@
 		configuration: d.replica.Configuration(),
 	}
 	old := d.view.Load()
+	v.caughtUp = old != nil && old.caughtUp || v.leader != "" && d.appliedTerm == v.term
 	v.leaderSince = now
 	if old != nil && old.isLeader && v.isLeader && old.term == v.term {
 		v.leaderSince = old.leaderSince
--- a/coltscontrol/driver_snapshot.go
+++ b/coltscontrol/driver_snapshot.go
@@ -12,7 +12,7 @@
 
 // importState replaces the state machine's state with a snapshot's.
 func (d *replicaDriver) importState(s coltsreplica.Snapshot) error {
-	d.appliedIndex = s.Index
+	d.appliedIndex, d.appliedTerm = s.Index, s.Term
 	d.nextSnapshotIndex = s.Index + uint64(d.c.settings.SnapshotEvery)
 	d.bytesSinceSnapshot = 0
 	d.snapshotBytes = len(s.Data)
--- a/coltscontrol/registry_loop.go
+++ b/coltscontrol/registry_loop.go
@@ -180,7 +180,8 @@
 	defer timer.Stop()
 	for {
 		changed := s.c.watchChanged.Channel()
-		if !s.c.stateFresh() || r.GetRegistryOnly() && !s.c.driver.view.Load().isLeader {
+		view := s.c.driver.view.Load()
+		if !s.c.stateFresh() || r.GetRegistryOnly() && !view.isLeader || !r.GetRegistryOnly() && !view.caughtUp {
 			return nil, unavailable(errStaleState)
 		}
 		reply, hasChanges := s.watchReply(r)
--- a/coltscontrol/replica_driver.go
+++ b/coltscontrol/replica_driver.go
@@ -60,6 +60,7 @@
 	pendingReads      map[uint64]*pendingRead
 	lastReadToken     uint64
 	appliedIndex      uint64
+	appliedTerm       uint64
 	nextSnapshotIndex uint64
 	// bytesSinceSnapshot is the total length of the commands applied since the newest
 	// snapshot was started, snapshotBytes the length of the last saved snapshot.
@@ -77,6 +78,10 @@
 
 // replicaView is a copy of the replica's state for other goroutines.
 type replicaView struct {
+	// caughtUp is set once this instance has applied an entry of the then current leader's term
+	// since its start. Before that it may have less applied than was acknowledged: what is only in
+	// the journal is applied when a leader says that it is committed.
+	caughtUp bool
 	// leader is the leader's ID, empty while no leader is known.
 	leader       coltsidentity.Instance
 	isLeader     bool
