Test connections beyond a gateway's own limit of descriptors

Without the setting descriptors, only the kernel bounds a gateway's descriptors. When accept fails for lack of them, idle connections must end and the accept loop must go on.

--- a/coltscrowd/gateway_test.go
+++ b/coltscrowd/gateway_test.go
@@ -6,7 +6,9 @@
 import (
 	"fmt"
 	"strings"
+	"syscall"
 	"testing"
+	"unsafe"
 
 	"gotest.tools/v3/assert"
 )
@@ -99,4 +101,14 @@
 	t.Run("connections with unfinished bodies", func(t *testing.T) {
 		assertWithstands(t, few, crowd, "/book/", unfinished{headers: []string{"Content-Length: 100"}, begin: "a"})
 	})
+	t.Run("connections beyond the process's own limit", func(t *testing.T) {
+		i := startInstances(t, limits{}, limits{})
+		limit := syscall.Rlimit{Cur: 200, Max: 200}
+		_, _, errno := syscall.RawSyscall6(syscall.SYS_PRLIMIT64, uintptr(i.gateway.cmd.Process.Pid), syscall.RLIMIT_NOFILE,
+			uintptr(unsafe.Pointer(&limit)), 0, 0, 0)
+		assert.Equal(t, errno, syscall.Errno(0))
+		openCrowd(t, i.callerAddr, crowd, func() string { return "" }, "", 0)
+		i.assertServed("/book/", "a")
+		assert.Assert(t, metric(t, i.operatorAddr, "connections-shed") > 0)
+	})
 }
