--- a/coltssettings/settings.go
+++ b/coltssettings/settings.go
@@ -42,6 +42,9 @@
 	ProbeTimeout   time.Duration `json:"probe-timeout" unit:"duration" min:"1ms" usage:"time in which an idle connection must answer a probe before it is used again"`
 	DrainNotice    time.Duration `json:"drain-notice" unit:"duration" min:"0s" usage:"time between failing readiness and refusing new connections at a shutdown"`
 	DrainTimeout   time.Duration `json:"drain-timeout" unit:"duration" min:"0s" usage:"time that running requests get to end at a shutdown"`
+
+	BodyBytes int `json:"body-bytes" unit:"bytes" min:"1048576" usage:"memory that the bodies of requests of more than 64 KB may take together while they are received and served; requests beyond it are refused as not run"`
+	MaxConns  int `json:"max-connections" unit:"connections" min:"16" usage:"connections from callers that are open at once, and likewise from upstreams; the one that has waited longest is closed for a further one"`
 }
 
 // Control holds the settings of a control instance.
@@ -61,6 +64,9 @@
 	LoadOrderDelay  time.Duration    `json:"order-wait" unit:"duration" min:"0s" usage:"time for which a new leader gives runners no orders to load weights, so that two holders of that right don't take turns"`
 	SilentAfter     time.Duration    `json:"silent-after" unit:"duration" min:"100ms" usage:"time without a report after which an upstream counts as silent"`
 	Replicas        []Replica        `json:"replicas" unit:"instances" usage:"every control instance of the group: instance, address, and joins for one that is added to a running group; empty for a group of one"`
+
+	BodyBytes int `json:"body-bytes" unit:"bytes" min:"1048576" usage:"memory that the bodies of requests of more than 64 KB may take together while they are received and served; requests beyond it are refused as not applied"`
+	MaxConns  int `json:"max-connections" unit:"connections" min:"16" usage:"connections to control/service-address that are open at once; the one that has waited longest is closed for a further one"`
 }
 
 // Replica describes a control instance of the group to the other ones.
@@ -116,6 +122,8 @@
 			ProbeTimeout:   250 * time.Millisecond,
 			DrainNotice:    time.Second,
 			DrainTimeout:   10 * time.Minute,
+			BodyBytes:      256 << 20,
+			MaxConns:       4096,
 		},
 		Gateway: Gateway{
 			CallerAddr:   netip.MustParseAddrPort("127.0.0.1:8100"),
@@ -143,6 +151,8 @@
 			MaxLoading:     3,
 			LoadOrderDelay: 3 * time.Second,
 			SilentAfter:    5 * time.Second,
+			BodyBytes:      48 << 20,
+			MaxConns:       2048,
 		},
 	}
 }
