Test a gateway whose caller reads after the upstream has cut off its stream

An upstream cuts off a response that stays unread. That is the fault of the caller who does not read; the upstream must not count as failed.

Run on the code as it stands: go test -count=1 ./coltscrowd -run Readers/a_caller fails, because the end of the stream counts as a lost connection of the upstream.

--- a/coltscrowd/reader_test.go
+++ b/coltscrowd/reader_test.go
@@ -9,7 +9,9 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,6 +38,9 @@
 	write(w)
 }
 
+// streamsCutOff is the number of streams that serveReaders has cut off.
+var streamsCutOff atomic.Int64
+
 // serveReaders serves requests by the last part of their path: long with a long response, endless with a
 // stream that ends only when it can't be written for 1 s, and others with the length of their body.
 func serveReaders(w http.ResponseWriter, r *http.Request) {
@@ -49,6 +54,7 @@
 			for {
 				_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(time.Second))
 				if _, err := body.Write(event); err != nil {
+					streamsCutOff.Add(1)
 					panic(http.ErrAbortHandler)
 				}
 			}
@@ -161,6 +167,24 @@
 		r.assertReadersEnd("/once/endless", "a")
 		assert.Equal(t, metric(t, r.operatorAddr, "retries"), 0.0, "the caller's fault counts as the upstream's")
 	})
+	t.Run("a caller that reads only after the upstream has cut off its stream", func(t *testing.T) {
+		r := startReaders(t, serveUpstream(t, serveReaders))
+		before := streamsCutOff.Load()
+		nc, err := net.Dial("tcp", r.callerAddr.String())
+		assert.NilError(t, err)
+		defer func() { _ = nc.Close() }()
+		_, err = io.WriteString(nc, requestHead("/once/endless", "Content-Length: 0"))
+		assert.NilError(t, err)
+		eventually(t, "the upstream cuts off the stream", func() bool { return streamsCutOff.Load() > before })
+		assert.NilError(t, nc.SetReadDeadline(time.Now().Add(waitLimit)))
+		_, err = io.Copy(io.Discard, nc)
+		assert.NilError(t, err)
+		eventually(t, "the end of the stream counts as the caller's fault", func() bool {
+			text, err := os.ReadFile(r.gateway.log)
+			assert.NilError(t, err)
+			return strings.Contains(string(text), "the caller read too slowly")
+		})
+	})
 	t.Run("an upstream that does not read requests", func(t *testing.T) {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
