Count a stream that was cut off unread as the caller's fault

A gateway that waits for a slow caller does not read from the upstream, which cuts off a response that stays unread for some seconds. The gateway then counted a failure of the upstream, suspected a crash, and counted the wait as a pause of the upstream in the balancer's costs.

A write that waited for the caller for 1 s marks the stream: a connection that ends after that has a neutral outcome and raises no suspicion. The time of a write is no longer part of the pause before the next event.

--- a/coltsgateway/forward_stream.go
+++ b/coltsgateway/forward_stream.go
@@ -10,6 +10,7 @@
 	"iter"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -24,6 +25,9 @@
 	// of the longest event that is passed on.
 	initialEventBufferBytes = 2 << 10
 	maxEventBytes           = 1 << 20
+	// slowReaderTime is how long a write may wait for the caller before a later end of the upstream's
+	// connection counts as the caller's fault. Upstreams cut off responses that stay unread for seconds.
+	slowReaderTime = time.Second
 )
 
 // forwardStream passes on a stream. It returns nil if the request has ended.
@@ -68,6 +72,8 @@
 	x      *exchange
 	buffer []byte
 	out    []byte
+	// callerSlow is set once a write has waited for the caller for slowReaderTime.
+	callerSlow bool
 }
 
 // read reads the available bytes and passes on the complete events in them. It reports whether
@@ -155,12 +161,23 @@
 	if last {
 		s.out = append(s.out, lastChunk...)
 	}
+	began := s.f.g.now()
 	if !s.f.write(s.out) {
 		return errCallerDisconnected
 	}
+	s.recordWrite(began)
 	return nil
 }
 
+// recordWrite records how long a write waited for the caller. That time is no pause of the upstream.
+func (s *eventStream) recordWrite(began time.Time) {
+	now := s.f.g.now()
+	s.callerSlow = s.callerSlow || now.Sub(began) >= slowReaderTime
+	if !s.f.lastForwardedAt.IsZero() {
+		s.f.lastForwardedAt = now
+	}
+}
+
 // appendStreamHead appends the head of a streamed response and records that the response has begun.
 func (f *forwarding) appendStreamHead(dst []byte, x *exchange) []byte {
 	f.headSent = true
@@ -224,6 +241,11 @@
 		s.f.g.metrics.Add(coltsmetric.Resumes, 1)
 	}
 	failure := s.x.readFailure(phase, err)
+	if s.callerSlow && failure.connectionLost {
+		failure.outcome, failure.connectionLost = coltsbalance.OutcomeNeutral, false
+		failure.Detail = "the caller read too slowly: " + failure.Detail
+		return failure
+	}
 	if failure.outcome == coltsbalance.OutcomeNeutral {
 		failure.Detail = "the request was cancelled: " + failure.Detail
 	}
