Tell the stream of the slow caller from those of other tests

The counter of cut-off streams also counted streams of the subtest before, so the caller read too early and the stream was not cut off: one run of go test ./coltscrowd -run 'Control|Entry|Readers' failed by that after 30 s on a busy machine. The check is unchanged.

go test -count=1 ./coltscrowd -run 'Readers/(a_caller|callers_that_don.t_read_streams)' passes (2 of 2 cases).

--- a/coltscrowd/reader_test.go
+++ b/coltscrowd/reader_test.go
@@ -38,8 +38,8 @@
 	write(w)
 }
 
-// streamsCutOff is the number of streams that serveReaders has cut off.
-var streamsCutOff atomic.Int64
+// aloneCutOff is set once serveReaders has cut off the stream of the caller that reads later.
+var aloneCutOff atomic.Bool
 
 // serveReaders serves requests by the last part of their path: long with a long response, endless with a
 // stream that ends only when it can't be written for 1 s, and others with the length of their body.
@@ -54,7 +54,9 @@
 			for {
 				_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(time.Second))
 				if _, err := body.Write(event); err != nil {
-					streamsCutOff.Add(1)
+					if r.URL.Path == "/once/alone/endless" {
+						aloneCutOff.Store(true)
+					}
 					panic(http.ErrAbortHandler)
 				}
 			}
@@ -169,13 +171,13 @@
 	})
 	t.Run("a caller that reads only after the upstream has cut off its stream", func(t *testing.T) {
 		r := startReaders(t, serveUpstream(t, serveReaders))
-		before := streamsCutOff.Load()
+		aloneCutOff.Store(false)
 		nc, err := net.Dial("tcp", r.callerAddr.String())
 		assert.NilError(t, err)
 		defer func() { _ = nc.Close() }()
-		_, err = io.WriteString(nc, requestHead("/once/endless", "Content-Length: 0"))
+		_, err = io.WriteString(nc, requestHead("/once/alone/endless", "Content-Length: 0"))
 		assert.NilError(t, err)
-		eventually(t, "the upstream cuts off the stream", func() bool { return streamsCutOff.Load() > before })
+		eventually(t, "the upstream cuts off the stream", aloneCutOff.Load)
 		assert.NilError(t, nc.SetReadDeadline(time.Now().Add(waitLimit)))
 		_, err = io.Copy(io.Discard, nc)
 		assert.NilError(t, err)
