Bound the bodies and connections of control, the entry and operators' addresses

What callers saw: a few hundred connections with unfinished bodies made a control instance or an entry take gigabytes, and a process without descriptors stopped accepting for good.

Cause: fasthttp reads a body whole before the handler runs, allocates the declared length at once, and ends its accept loop on EMFILE.

Change: coltsfront.Server streams bodies. coltsbody.Intake reads them within two memory rooms, one reserved for bodies up to 64 KB, and ends slow ones when a room is full (413, 408, 503; none has run). coltsaccept.Listener closes the connection that has waited longest at the bound and when no descriptor is left. Control decodes one config at a time and counts a config until it is written. The entry reads a body only after authentication and keeps one copy instead of two. A body that is too long now gets 413 instead of 400.

--- a/coltsattempt/outcome_refusal.go
+++ b/coltsattempt/outcome_refusal.go
@@ -31,6 +31,8 @@
 // The reasons.
 const (
 	ReasonBadRequest    Reason = "bad-request"
+	ReasonTooLong       Reason = "too-long"
+	ReasonTooSlow       Reason = "too-slow"
 	ReasonUnknownKey    Reason = "unknown-key"
 	ReasonNotAllowed    Reason = "not-allowed"
 	ReasonUnknownModel  Reason = "unknown-model"
--- /dev/null
+++ b/coltsbody/body_room.go
@@ -0,0 +1,135 @@
+package coltsbody
+
+// Bodies share a room of memory. When it is full, unfinished bodies that have made too little progress
+// since their start give way to a further one. Progress counts from the start and not from the last byte,
+// because a client that sends a byte now and then makes none.
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"coltsfootstall/coltsbuffer"
+	"coltsfootstall/coltsloop"
+)
+
+const (
+	// graceTime is the age up to which a body never gives way, leastRate the bytes per second of age beyond
+	// it. An operator's body of 4 MB arrives within 3 s even over a link that other traffic half fills, and
+	// its client waits for 5 s.
+	graceTime = time.Second
+	leastRate = 1 << 20
+	// roomWait bounds the wait for the room of bodies that give way. They are woken at once.
+	roomWait = 300 * time.Millisecond
+	// uncountedBytes is the part of a message that a share of coltsbuffer does not count.
+	uncountedBytes = 32 << 10
+)
+
+// room is memory that bodies share.
+type room struct {
+	budget *coltsbuffer.Budget
+	// released is fired when memory is returned.
+	released *coltsloop.Signal
+
+	mu sync.Mutex
+	// unfinished holds the bodies that wait for bytes, and how many each has received.
+	unfinished map[*Body]*progress
+}
+
+// progress is what has been received of a body.
+type progress struct {
+	startedAt time.Time
+	// size is the memory that the body takes; it has received at least half of that.
+	size atomic.Int64
+}
+
+func newRoom(size int) *room {
+	return &room{budget: coltsbuffer.NewBudget(size), released: coltsloop.NewSignal(), unfinished: map[*Body]*progress{}}
+}
+
+// take makes a share size bytes large. If there is no room, slow bodies give way, and it waits for a short
+// time for what they return.
+func (r *room) take(share *coltsbuffer.Share, size int, b *Body, now func() time.Time) error {
+	released := r.released.Channel()
+	err := share.Grow(size + uncountedBytes)
+	if err == nil {
+		r.record(b, size)
+		return nil
+	}
+	if !r.shed(size, b, now()) {
+		return err
+	}
+	timer := time.NewTimer(roomWait)
+	defer timer.Stop()
+	for {
+		select {
+		case <-released:
+		case <-timer.C:
+			return err
+		}
+		released = r.released.Channel()
+		if err = share.Grow(size + uncountedBytes); err == nil {
+			r.record(b, size)
+			return nil
+		}
+	}
+}
+
+func (r *room) list(b *Body) {
+	p := &progress{startedAt: b.startedAt}
+	p.size.Store(int64(cap(b.Bytes)))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unfinished[b] = p
+}
+
+func (r *room) unlist(b *Body) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.unfinished, b)
+}
+
+// record records the memory that a listed body takes.
+func (r *room) record(b *Body, size int) {
+	if !b.listed {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p := r.unfinished[b]; p != nil {
+		p.size.Store(int64(size))
+	}
+}
+
+// shed ends the reads of slow bodies, newest first, until they take size bytes together. It reports
+// whether there was one.
+func (r *room) shed(size int, except *Body, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var slow []*Body
+	for b, p := range r.unfinished {
+		if b != except && isSlow(p.startedAt, p.size.Load(), now) {
+			slow = append(slow, b)
+		}
+	}
+	slices.SortFunc(slow, func(a, b *Body) int { return b.startedAt.Compare(a.startedAt) })
+	freed := int64(0)
+	for _, b := range slow {
+		if freed >= int64(size) {
+			break
+		}
+		freed += r.unfinished[b].size.Load()
+		delete(r.unfinished, b)
+		b.gaveWay.Store(true)
+		// The body's own goroutine returns the memory. On a closed connection its read has ended already.
+		_ = b.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+	return len(slow) > 0
+}
+
+// isSlow reports whether a body that takes size bytes gives way to others.
+func isSlow(startedAt time.Time, size int64, now time.Time) bool {
+	spent := now.Sub(startedAt) - graceTime
+	return spent > time.Duration(float64(size)/leastRate*float64(time.Second))
+}
--- a/coltscodec/refusal_body.go
+++ b/coltscodec/refusal_body.go
@@ -27,6 +27,8 @@
 // refusalStatus maps reasons to HTTP statuses; reasons not listed here get 502.
 var refusalStatus = map[coltsattempt.Reason]int{
 	coltsattempt.ReasonBadRequest:    http.StatusBadRequest,
+	coltsattempt.ReasonTooLong:       http.StatusRequestEntityTooLarge,
+	coltsattempt.ReasonTooSlow:       http.StatusRequestTimeout,
 	coltsattempt.ReasonUnknownKey:    http.StatusUnauthorized,
 	coltsattempt.ReasonNotAllowed:    http.StatusForbidden,
 	coltsattempt.ReasonUnknownModel:  http.StatusNotFound,
--- a/coltscommand/command_instance.go
+++ b/coltscommand/command_instance.go
@@ -137,7 +137,10 @@
 	if !settings.Control.ServiceAddr.IsValid() {
 		return runInstance(ctx, c, log, i)
 	}
-	service := platform.NewControlServer(platform.ControlConfig{Addr: settings.Control.ServiceAddr, Control: control, Log: log})
+	service := platform.NewControlServer(platform.ControlConfig{
+		Addr: settings.Control.ServiceAddr, BodyBytes: settings.Control.BodyBytes, MaxConns: settings.Control.MaxConns,
+		Control: control, Log: log,
+	})
 	i.start = inOrder(control.Start, service.Start)
 	i.shutdown = inOrder(service.Shutdown, control.Shutdown)
 	return runInstance(ctx, c, log, i)
--- a/coltscontrol/control.go
+++ b/coltscontrol/control.go
@@ -17,11 +17,11 @@
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
-	"github.com/valyala/fasthttp"
 
 	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltsbalance"
 	"coltsfootstall/coltsdocument"
+	"coltsfootstall/coltsfront"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslink"
 	"coltsfootstall/coltslog"
@@ -120,7 +120,7 @@
 	listener         net.Listener
 	server           *http.Server
 	operatorListener net.Listener
-	operatorServer   *fasthttp.Server
+	operatorServer   *coltsfront.Server
 	// runCtx is cancelled by cancel when the instance shuts down.
 	runCtx context.Context
 	cancel context.CancelFunc
@@ -189,7 +189,7 @@
 	mux.Handle(coltspbconnect.NewControlHandler(&controlServer{c: c}, connect.WithCompressMinBytes(compressMinBytes)))
 	mux.Handle(coltspbconnect.NewReplicaHandler(&replicaServer{d: c.driver}, connect.WithCompressMinBytes(compressMinBytes)))
 	c.server = coltslink.NewServer(mux)
-	c.operatorServer = &fasthttp.Server{Handler: c.serveOperator, Name: "coltsfootstall", CloseOnShutdown: true}
+	c.operatorServer = coltsfront.NewServer(coltsfront.Config{Listener: c.operatorListener, Handler: c.serveOperator, Name: "coltsfootstall"})
 	c.runCtx, c.cancel = context.WithCancel(context.Background())
 	c.loops.Go(func() { c.driver.run(c.runCtx) })
 	c.driver.peers.start(c.runCtx)
@@ -209,7 +209,7 @@
 	c.loops.Go(func() { c.sendOrders(c.runCtx) })
 	c.loops.Go(func() { c.heartbeatLoop(c.runCtx) })
 	go c.serve(func() error { return c.server.Serve(c.listener) })
-	go c.serve(func() error { return c.operatorServer.Serve(c.operatorListener) })
+	go c.serve(func() error { return c.operatorServer.Serve() })
 	c.log.Info("Started.", coltslog.Fields{
 		"address":   c.Addr(),
 		"operators": c.OperatorAddr(),
@@ -263,6 +263,9 @@
 	return c.driver.view.Load().configuration.Voters
 }
 
+// Metrics returns the instance's metrics.
+func (c *Control) Metrics() *coltsmetric.Set { return c.metrics }
+
 // CountPanic counts an unexpected error that ended a call or a step of a loop.
 func (c *Control) CountPanic() { c.metrics.Add(coltsmetric.Panics, 1) }
 
@@ -326,7 +329,7 @@
 	if err != nil {
 		err = c.server.Close()
 	}
-	_ = c.operatorServer.ShutdownWithContext(ctx)
+	_ = c.operatorServer.Shutdown(ctx)
 	c.loops.Wait()
 	c.driver.peers.wait()
 	if closeErr := c.driver.close(); err == nil {
--- a/coltsentry/caller_call.go
+++ b/coltsentry/caller_call.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"slices"
 	"strings"
 	"time"
 
@@ -13,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"coltsfootstall/coltsattempt"
+	"coltsfootstall/coltsbody"
 	"coltsfootstall/coltsbooking"
 	"coltsfootstall/coltscodec"
 	"coltsfootstall/coltsdocument"
@@ -39,7 +39,8 @@
 	maxKeyBytes = 255
 )
 
-func serveService(e *Entry, ctx *fasthttp.RequestCtx, org coltsdocument.Organisation) {
+func serveService(e *Entry, ctx *fasthttp.RequestCtx, org coltsdocument.Organisation, body *coltsbody.Body) {
+	defer body.Release()
 	rest := strings.TrimPrefix(string(ctx.Path()), servicePath)
 	service, path, _ := strings.Cut(rest, "/")
 	key := string(ctx.Request.Header.Peek("Idempotency-Key"))
@@ -55,7 +56,7 @@
 		Method:       string(ctx.Method()),
 		Path:         "/" + path,
 		ContentType:  string(ctx.Request.Header.ContentType()),
-		Body:         slices.Clone(ctx.PostBody()),
+		Body:         body.Bytes,
 		Key:          coltsidentity.IdempotencyKey(key),
 		Repeatable:   ctx.IsGet() || ctx.IsHead(),
 		Deadline:     e.cfg.Now().Add(e.settings.RequestTimeout),
--- a/coltsentry/caller_prompt.go
+++ b/coltsentry/caller_prompt.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"io"
-	"slices"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -15,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"coltsfootstall/coltsattempt"
+	"coltsfootstall/coltsbody"
 	"coltsfootstall/coltscodec"
 	"coltsfootstall/coltsdocument"
 	"coltsfootstall/coltslog"
@@ -24,24 +24,25 @@
 	"coltsfootstall/coltswatch"
 )
 
-func serveChat(e *Entry, ctx *fasthttp.RequestCtx, org coltsdocument.Organisation) {
-	e.servePrompt(ctx, org, coltscodec.DecodeChat)
+func serveChat(e *Entry, ctx *fasthttp.RequestCtx, org coltsdocument.Organisation, body *coltsbody.Body) {
+	e.servePrompt(ctx, org, body, coltscodec.DecodeChat)
 }
 
-func serveCompletion(e *Entry, ctx *fasthttp.RequestCtx, org coltsdocument.Organisation) {
-	e.servePrompt(ctx, org, coltscodec.DecodeCompletion)
+func serveCompletion(e *Entry, ctx *fasthttp.RequestCtx, org coltsdocument.Organisation, body *coltsbody.Body) {
+	e.servePrompt(ctx, org, body, coltscodec.DecodeCompletion)
 }
 
 func (e *Entry) servePrompt(
-	ctx *fasthttp.RequestCtx, org coltsdocument.Organisation,
+	ctx *fasthttp.RequestCtx, org coltsdocument.Organisation, body *coltsbody.Body,
 	decode func([]byte) (coltscodec.PromptRequest, error),
 ) {
-	decoded, err := decode(ctx.PostBody())
+	decoded, err := decode(body.Bytes)
 	if err != nil {
+		body.Release()
 		e.refuse(ctx, coltsattempt.NotRun(coltsattempt.ReasonBadRequest, "%v", err))
 		return
 	}
-	d := e.newPromptDriver(ctx, org, decoded)
+	d := e.newPromptDriver(ctx, org, decoded, body)
 	conn := watchedConn(ctx)
 	conn.StartWatch(d.cancel)
 	if decoded.Stream {
@@ -49,20 +50,19 @@
 		return
 	}
 	defer d.cancel()
+	defer body.Release()
 	defer conn.StopWatch()
 	e.serveBuffered(ctx, d)
 }
 
 func (e *Entry) newPromptDriver(
-	ctx *fasthttp.RequestCtx, org coltsdocument.Organisation, decoded coltscodec.PromptRequest,
+	ctx *fasthttp.RequestCtx, org coltsdocument.Organisation, decoded coltscodec.PromptRequest, body *coltsbody.Body,
 ) *promptDriver {
 	now := e.cfg.Now()
 	d := &promptDriver{
 		e:    e,
 		path: string(ctx.Path()),
-		// The body is sent again by attempts after the handler has returned, when
-		// fasthttp may reuse the request's buffer.
-		body: slices.Clone(ctx.PostBody()),
+		body: body,
 		prompt: coltsrequest.Prompt{
 			ID:           newRequestID(ctx),
 			Organisation: org,
@@ -113,6 +113,7 @@
 	refusal := d.begin(body.readFirstPart)
 	if refusal != nil {
 		conn.StopWatch()
+		d.body.Release()
 		d.cancel()
 		e.refuse(ctx, refusal)
 		return
@@ -219,6 +220,7 @@
 // disconnected.
 func (b *answerBody) Close() error {
 	b.conn.StopWatch()
+	b.d.body.Release()
 	b.d.callerDisconnected(b.d.e.cfg.Now())
 	b.d.cancel()
 	b.d.e.metrics.Add(coltsmetric.RequestsUnderWay, -1)
--- a/coltsentry/caller_server.go
+++ b/coltsentry/caller_server.go
@@ -9,9 +9,11 @@
 	"strconv"
 	"strings"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"coltsfootstall/coltsattempt"
+	"coltsfootstall/coltsbody"
 	"coltsfootstall/coltscodec"
 	"coltsfootstall/coltsdocument"
 	"coltsfootstall/coltsidentity"
@@ -21,8 +23,8 @@
 // servicePath is the path prefix of calls to plain services: /services/NAME/...
 const servicePath = "/services/"
 
-// callerHandler handles requests to one path by an authenticated organisation.
-type callerHandler func(e *Entry, ctx *fasthttp.RequestCtx, org coltsdocument.Organisation)
+// callerHandler handles requests to one path by an authenticated organisation. It releases the body.
+type callerHandler func(e *Entry, ctx *fasthttp.RequestCtx, org coltsdocument.Organisation, body *coltsbody.Body)
 
 // callerHandlers holds the handlers by exact path. Paths that start with servicePath are
 // handled by serveService.
@@ -55,7 +57,41 @@
 		e.refuse(ctx, refusal)
 		return
 	}
-	handler(e, ctx, org)
+	body, refusal := e.readBody(ctx)
+	if refusal != nil {
+		e.refuse(ctx, refusal)
+		return
+	}
+	handled := false
+	defer func() {
+		if !handled {
+			body.Release()
+		}
+	}()
+	handler(e, ctx, org, body)
+	handled = true
+}
+
+// bodyRefusals maps the reasons for which a body is refused to those that callers get.
+var bodyRefusals = map[coltsbody.Refusal]coltsattempt.Reason{
+	coltsbody.RefusalTooLong: coltsattempt.ReasonTooLong,
+	coltsbody.RefusalTooSlow: coltsattempt.ReasonTooSlow,
+	coltsbody.RefusalNoRoom:  coltsattempt.ReasonOverloaded,
+	coltsbody.RefusalBroken:  coltsattempt.ReasonBadRequest,
+}
+
+// readBody reads the body of a request.
+func (e *Entry) readBody(ctx *fasthttp.RequestCtx) (*coltsbody.Body, *coltsattempt.RefusedError) {
+	body, err := e.listeners.callers.ReadBody(ctx)
+	var refused *coltsbody.RefusedError
+	if !errors.As(err, &refused) {
+		return body, nil
+	}
+	refusal := coltsattempt.NotRun(bodyRefusals[refused.Reason], "%v", err)
+	if refused.Reason == coltsbody.RefusalNoRoom {
+		refusal = refusal.WithRetryAt(e.cfg.Now())
+	}
+	return nil, refusal
 }
 
 func (e *Entry) callerHandler(ctx *fasthttp.RequestCtx) (callerHandler, *coltsattempt.RefusedError) {
@@ -113,7 +149,8 @@
 
 // serveModels lists the model versions that the organisation may use. The current version
 // of a model is also listed under the model's plain name.
-func serveModels(e *Entry, ctx *fasthttp.RequestCtx, org coltsdocument.Organisation) {
+func serveModels(e *Entry, ctx *fasthttp.RequestCtx, org coltsdocument.Organisation, body *coltsbody.Body) {
+	body.Release()
 	names := make([]string, 0, len(org.Models))
 	for _, m := range e.document().Sections.Models {
 		for _, v := range m.Versions {
--- a/coltsentry/entry.go
+++ b/coltsentry/entry.go
@@ -17,10 +17,12 @@
 	"github.com/pkg/errors"
 
 	"coltsfootstall/coltsattempt"
+	"coltsfootstall/coltsbody"
 	"coltsfootstall/coltscache"
 	"coltsfootstall/coltsdocument"
 	"coltsfootstall/coltsdrain"
 	"coltsfootstall/coltsfleet"
+	"coltsfootstall/coltsfront"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsmembership"
@@ -95,6 +97,9 @@
 	background pond.Pool
 
 	listeners listeners
+	// intake reads the bodies of requests, shed counts what is refused or closed for want of room.
+	intake *coltsbody.Intake
+	shed   *coltsfront.ShedLog
 	// drainPlan is set when a shutdown begins.
 	drainPlan atomic.Pointer[coltsdrain.Plan]
 	// stop ends the background loops; loops waits for them.
@@ -126,6 +131,8 @@
 	}
 	e.attempts = pond.NewPool(
 		e.settings.MaxInFlight, pond.WithQueueSize(attemptQueueSize), pond.WithNonBlocking(true))
+	e.shed = coltsfront.NewShedLog(e.log, e.metrics)
+	e.intake = e.newIntake()
 	e.index.Store(coltsdocument.NewIndex(coltsdocument.Document{}))
 	e.batcher = coltsusage.NewBatcher(e.meter, coltsusage.Source{Instance: e.id(), Started: e.started})
 	e.coordinator = e.newCoordinator(policy)
--- a/coltsentry/entry_listeners.go
+++ b/coltsentry/entry_listeners.go
@@ -14,6 +14,8 @@
 	"github.com/valyala/fasthttp"
 
 	"coltsfootstall/coltsattempt"
+	"coltsfootstall/coltsbody"
+	"coltsfootstall/coltsfront"
 	"coltsfootstall/coltslink"
 	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsmetric"
@@ -25,38 +27,32 @@
 	// headerBufferBytes bounds the size of a request's headers; the header with the piece
 	// names can be long.
 	headerBufferBytes = 64 << 10
-	// idleTimeout is how long an idle connection is kept open.
-	idleTimeout = 2 * time.Minute
 	// readTimeout bounds reading one request.
 	readTimeout = 30 * time.Second
+	// smallBodyBytes is the memory for a small body of each connection.
+	smallBodyBytes = 64 << 10
 )
 
 // listeners holds the listeners and servers of an entry.
 type listeners struct {
-	callers   fastServer
-	upstreams fastServer
-	operators fastServer
+	callers   *coltsfront.Server
+	upstreams *coltsfront.Server
+	operators *coltsfront.Server
 	peers     net.Listener
 	peerHTTP  *http.Server
 }
 
-// fastServer is a fasthttp server with its listener.
-type fastServer struct {
-	listener net.Listener
-	server   *fasthttp.Server
-}
-
 func (l *listeners) open(e *Entry) error {
 	var err error
-	l.callers, err = listen(e, e.settings.CallerAddr, e.serveCaller, e.settings.MaxBodyBytes, coltswatch.NewListener)
+	l.callers, err = listen(e, e.settings.CallerAddr, e.serveCaller, e.intake, coltswatch.NewListener)
 	if err != nil {
 		return err
 	}
-	l.upstreams, err = listen(e, e.settings.UpstreamAddr, e.serveUpstream, e.settings.MaxBodyBytes, nil)
+	l.upstreams, err = listen(e, e.settings.UpstreamAddr, e.serveUpstream, e.intake, nil)
 	if err != nil {
 		return err
 	}
-	l.operators, err = listen(e, e.settings.OperatorAddr, e.serveOperator, e.settings.MaxBodyBytes, nil)
+	l.operators, err = listen(e, e.settings.OperatorAddr, e.serveOperator, nil, nil)
 	if err != nil {
 		return err
 	}
@@ -67,8 +63,8 @@
 	mux := http.NewServeMux()
 	mux.Handle(coltspbconnect.NewPeerHandler(e.peers))
 	l.peerHTTP = coltslink.NewServer(mux)
-	for _, s := range []fastServer{l.callers, l.upstreams, l.operators} {
-		go serve(e, func() error { return s.server.Serve(s.listener) })
+	for _, s := range []*coltsfront.Server{l.callers, l.upstreams, l.operators} {
+		go serve(e, s.Serve)
 	}
 	go serve(e, func() error { return l.peerHTTP.Serve(l.peers) })
 	return nil
@@ -82,31 +78,32 @@
 	}
 }
 
-// listen opens a listener for a fasthttp server. The server accepts from wrap's result
-// unless wrap is nil.
+// listen opens a listener and returns its server, which reads no bodies if intake is nil. The server accepts
+// from wrap's result unless wrap is nil.
 func listen(
-	e *Entry, addr netip.AddrPort, handler fasthttp.RequestHandler, maxBodyBytes int, wrap func(net.Listener) net.Listener,
-) (fastServer, error) {
+	e *Entry, addr netip.AddrPort, handler fasthttp.RequestHandler, intake *coltsbody.Intake, wrap func(net.Listener) net.Listener,
+) (*coltsfront.Server, error) {
 	ln, err := net.Listen("tcp", addr.String())
 	if err != nil {
-		return fastServer{}, errors.Wrapf(err, "listen on %s", addr)
+		return nil, errors.Wrapf(err, "listen on %s", addr)
 	}
 	if wrap != nil {
 		ln = wrap(ln)
 	}
-	server := &fasthttp.Server{
-		Handler:               guard(e, handler),
-		Name:                  "coltsfootstall",
-		ReadBufferSize:        headerBufferBytes,
-		MaxRequestBodySize:    maxBodyBytes,
-		ReadTimeout:           readTimeout,
-		IdleTimeout:           idleTimeout,
-		CloseOnShutdown:       true,
-		NoDefaultServerHeader: true,
-		NoDefaultDate:         true,
-		Logger:                discardLogger{},
-	}
-	return fastServer{listener: ln, server: server}, nil
+	return coltsfront.NewServer(coltsfront.Config{
+		Listener: ln, Handler: guard(e, handler), Intake: intake, MaxConns: e.settings.MaxConns,
+		Name: "coltsfootstall", NoDate: true, HeaderBytes: headerBufferBytes,
+		ReadTimeout: readTimeout, OnClosed: e.shed.RecordClosed,
+	}), nil
+}
+
+// newIntake returns the intake of the bodies from callers and upstreams. Each connection has room for a
+// small body, because bodies are kept while their requests are served.
+func (e *Entry) newIntake() *coltsbody.Intake {
+	return coltsbody.NewIntake(coltsbody.Config{
+		MaxBytes: e.settings.MaxBodyBytes, LargeBytes: e.settings.BodyBytes, SmallBytes: 2 * e.settings.MaxConns * smallBodyBytes,
+		Timeout: readTimeout, OnRefused: e.shed.RecordRefused,
+	})
 }
 
 // guard returns a handler that answers with an error if handler panics. It is not known whether the
@@ -124,33 +121,26 @@
 	}
 }
 
-// discardLogger discards fasthttp's own log lines: each is about one connection that a
-// client broke, and such connections are counted.
-type discardLogger struct{}
-
-// Printf discards the line.
-func (discardLogger) Printf(string, ...any) {}
-
-func (l *listeners) callerAddr() netip.AddrPort   { return coltslink.AddrOf(l.callers.listener) }
-func (l *listeners) upstreamAddr() netip.AddrPort { return coltslink.AddrOf(l.upstreams.listener) }
-func (l *listeners) operatorAddr() netip.AddrPort { return coltslink.AddrOf(l.operators.listener) }
+func (l *listeners) callerAddr() netip.AddrPort   { return l.callers.AddrPort() }
+func (l *listeners) upstreamAddr() netip.AddrPort { return l.upstreams.AddrPort() }
+func (l *listeners) operatorAddr() netip.AddrPort { return l.operators.AddrPort() }
 func (l *listeners) peerAddr() netip.AddrPort     { return coltslink.AddrOf(l.peers) }
 
 // openCallerConns returns the number of open connections from callers.
 func (l *listeners) openCallerConns() int {
-	return int(l.callers.server.GetOpenConnectionsCount())
+	return l.callers.OpenConns()
 }
 
 // closeCallers refuses new connections from callers and waits until running requests have
 // ended or ctx ends.
 func (l *listeners) closeCallers(ctx context.Context) error {
-	return l.callers.server.ShutdownWithContext(ctx)
+	return l.callers.Shutdown(ctx)
 }
 
 // closeOthers closes the other listeners. Errors are ignored, since the instance is
 // stopping.
 func (l *listeners) closeOthers(ctx context.Context) {
-	_ = l.upstreams.server.ShutdownWithContext(ctx)
-	_ = l.operators.server.ShutdownWithContext(ctx)
+	_ = l.upstreams.Shutdown(ctx)
+	_ = l.operators.Shutdown(ctx)
 	_ = l.peerHTTP.Close()
 }
--- a/coltsentry/prompt_driver.go
+++ b/coltsentry/prompt_driver.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"coltsfootstall/coltsattempt"
+	"coltsfootstall/coltsbody"
 	"coltsfootstall/coltscodec"
 	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsmetric"
@@ -23,7 +24,7 @@
 	prompt coltsrequest.Prompt
 	// path and body are forwarded to the runner unchanged.
 	path      string
-	body      []byte
+	body      *coltsbody.Body
 	lifecycle *coltsrequest.Lifecycle
 
 	// ctx ends when the caller disconnects or cancel is called, which aborts the current
@@ -112,7 +113,7 @@
 		Method:      "POST",
 		Path:        d.path,
 		ContentType: "application/json",
-		Body:        d.body,
+		Body:        d.body.Bytes,
 		Headers:     headers,
 		Deadline:    dispatch.Deadline,
 		OnSent:      func() { d.e.countAttempt(dispatch.Attempt) },
--- a/coltsentry/upstream_server.go
+++ b/coltsentry/upstream_server.go
@@ -4,8 +4,10 @@
 // callers can't reach.
 
 import (
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"coltsfootstall/coltsbody"
 	"coltsfootstall/coltscodec"
 	"coltsfootstall/coltsfleet"
 	"coltsfootstall/coltslog"
@@ -18,18 +20,29 @@
 		ctx.Error("only POST is served here", fasthttp.StatusMethodNotAllowed)
 		return
 	}
-	switch string(ctx.Path()) {
-	case coltscodec.PathAnnounce:
-		e.serveAnnounce(ctx)
-	case coltscodec.PathEvents:
-		e.serveEvents(ctx)
-	default:
+	handler, known := upstreamHandlers[string(ctx.Path())]
+	if !known {
 		ctx.Error("there is no such path", fasthttp.StatusNotFound)
+		return
+	}
+	body, err := e.listeners.upstreams.ReadBody(ctx)
+	var refused *coltsbody.RefusedError
+	if errors.As(err, &refused) {
+		ctx.Error(err.Error(), refused.Status())
+		return
 	}
+	defer body.Release()
+	handler(e, ctx, body.Bytes)
+}
+
+// upstreamHandlers holds the handlers of requests with a body by path.
+var upstreamHandlers = map[string]func(e *Entry, ctx *fasthttp.RequestCtx, body []byte){
+	coltscodec.PathAnnounce: (*Entry).serveAnnounce,
+	coltscodec.PathEvents:   (*Entry).serveEvents,
 }
 
-func (e *Entry) serveAnnounce(ctx *fasthttp.RequestCtx) {
-	a, err := coltscodec.DecodeAnnouncement(ctx.PostBody())
+func (e *Entry) serveAnnounce(ctx *fasthttp.RequestCtx, body []byte) {
+	a, err := coltscodec.DecodeAnnouncement(body)
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
@@ -57,8 +70,8 @@
 	return nil
 }
 
-func (e *Entry) serveEvents(ctx *fasthttp.RequestCtx) {
-	event, err := coltscodec.DecodeCacheEvent(ctx.PostBody())
+func (e *Entry) serveEvents(ctx *fasthttp.RequestCtx, body []byte) {
+	event, err := coltscodec.DecodeCacheEvent(body)
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
--- a/coltsgateway/gateway.go
+++ b/coltsgateway/gateway.go
@@ -11,12 +11,12 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/valyala/fasthttp"
 
 	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltsbalance"
 	"coltsfootstall/coltsbuffer"
 	"coltsfootstall/coltsdrain"
+	"coltsfootstall/coltsfront"
 	"coltsfootstall/coltslink"
 	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsloop"
@@ -88,8 +88,8 @@
 	callerListener   net.Listener
 	readyListener    net.Listener
 	operatorListener net.Listener
-	readyServer      *fasthttp.Server
-	operatorServer   *fasthttp.Server
+	readyServer      *coltsfront.Server
+	operatorServer   *coltsfront.Server
 	openConns        openConns
 
 	ctx        context.Context
@@ -171,19 +171,21 @@
 	}
 	g.callerListener = coltswatch.NewListener(g.callerListener)
 	g.ctx, g.stop = context.WithCancel(context.Background())
-	g.readyServer = &fasthttp.Server{Handler: g.guard(g.serveReady), NoDefaultServerHeader: true}
-	g.operatorServer = &fasthttp.Server{Handler: g.guard(g.serveOperator), Name: "coltsfootstall"}
-	go g.serve(g.readyServer, g.readyListener)
-	go g.serve(g.operatorServer, g.operatorListener)
+	g.readyServer = coltsfront.NewServer(coltsfront.Config{Listener: g.readyListener, Handler: g.guard(g.serveReady)})
+	g.operatorServer = coltsfront.NewServer(coltsfront.Config{
+		Listener: g.operatorListener, Handler: g.guard(g.serveOperator), Name: "coltsfootstall",
+	})
+	go g.serve(g.readyServer)
+	go g.serve(g.operatorServer)
 	g.background.Go(func() { g.watcher.run(g.ctx) })
 	g.accepting.Go(g.accept)
 	g.log.Info("Started.", coltslog.Fields{"callers": g.CallerAddr(), "operators": g.OperatorAddr()})
 	return nil
 }
 
-func (g *Gateway) serve(s *fasthttp.Server, ln net.Listener) {
-	if err := s.Serve(ln); err != nil {
-		g.log.Error("A listener failed.", coltslog.Fields{"address": ln.Addr(), "error": err})
+func (g *Gateway) serve(s *coltsfront.Server) {
+	if err := s.Serve(); err != nil {
+		g.log.Error("A listener failed.", coltslog.Fields{"address": s.AddrPort(), "error": err})
 	}
 }
 
--- a/coltsmetric/metric_table.go
+++ b/coltsmetric/metric_table.go
@@ -54,6 +54,8 @@
 	RequestsAtHome         = Metric{"requests-at-home", "requests", "requests sent to the runner that their shared parts lead to"}
 	Panics                 = Metric{"unexpected-errors", "errors", "requests and loops ended by a panic; the log has the stacks"}
 	BuffersExhausted       = Metric{"buffers-exhausted", "messages", "messages given up because the memory for buffers was used up"}
+	BodiesRefused          = Metric{"bodies-refused", "requests", "requests refused because their body was too long, too slow or broken, or found no room"}
+	ConnectionsShed        = Metric{"connections-shed", "connections", "connections closed because too many were open"}
 	PartsBlocked           = Metric{"parts-blocked", "parts", "parts of prompts that crash upstreams; prompts with them are refused"}
 	UpstreamsLeft          = Metric{"upstreams-left", "upstreams", "processes of upstreams that said in a response that they are leaving"}
 	Pauses                 = Metric{"pauses", "pauses", "pauses that upstreams asked for"}
@@ -68,7 +70,7 @@
 	Requests, Refused, RequestsUnderWay, CallerDisconnects, Attempts, Retries, Resumes, WrongRequestIDs, SilentConnections,
 	StreamedParts, TokensComputed, TokensReused, FirstTokenMicros, FirstTokens, Lookups, Exports, ExportsFailed,
 	Announcements, UntrustedAnnouncements, Upstreams, CacheEvents, Grants, Replays, SettleRetries, Revision, LastContactMillis,
-	RoutesVersion, WatchFailures, RefusedNotRun, FailedUnknown, StreamsBroken, RequestsAtHome, Panics, BuffersExhausted, PartsBlocked, UpstreamsLeft, Pauses,
+	RoutesVersion, WatchFailures, RefusedNotRun, FailedUnknown, StreamsBroken, RequestsAtHome, Panics, BuffersExhausted, BodiesRefused, ConnectionsShed, PartsBlocked, UpstreamsLeft, Pauses,
 	LogLinesDropped,
 	UsageBatches, Commands, JournalSyncs, Snapshots,
 }
--- a/coltssettings/settings.go
+++ b/coltssettings/settings.go
@@ -125,7 +125,7 @@
 			DrainNotice:    time.Second,
 			DrainTimeout:   10 * time.Minute,
 			BodyBytes:      256 << 20,
-			MaxConns:       4096,
+			MaxConns:       2048,
 		},
 		Gateway: Gateway{
 			CallerAddr:   netip.MustParseAddrPort("127.0.0.1:8100"),
