--- a/coltscrowd/gateway_test.go
+++ b/coltscrowd/gateway_test.go
@@ -31,9 +31,9 @@
 	return strings.Repeat(fmt.Sprintf("%x\r\n%s\r\n", chunkKB<<10, strings.Repeat("a", chunkKB<<10)), n)
 }
 
-// unfinished is a request that begins with header lines and a text, goes on with a repeated text up to a
+// partialRequest is a request that begins with header lines and a text, goes on with a repeated text up to a
 // number of bytes, and then stops.
-type unfinished struct {
+type partialRequest struct {
 	name          string
 	headers       []string
 	begin         string
@@ -44,7 +44,7 @@
 // assertWithstands opens a crowd of connections with unfinished requests at a gateway on a machine and
 // asserts that the gateway lives, stays within the machine, and answers ordinary requests while the crowd
 // is there.
-func assertWithstands(t *testing.T, m limits, crowd int, path string, u unfinished) {
+func assertWithstands(t *testing.T, m limits, crowd int, path string, u partialRequest) {
 	t.Helper()
 	i := startInstances(t, limits{}, m)
 	highest := i.gateway.watchDescriptors()
@@ -60,7 +60,7 @@
 
 func TestUnfinishedRequests(t *testing.T) {
 	const crowd = 400
-	for _, u := range []unfinished{
+	for _, u := range []partialRequest{
 		{"large chunks that stop before the last byte", []string{chunked}, largeChunks(3) + fmt.Sprintf("%x\r\n", chunkKB<<10), "a", chunkKB<<10 - 1},
 		{"large chunks that stop in the last chunk's line", []string{chunked}, largeChunks(4) + "0", "", 0},
 		{"a large chunk that stops at once", []string{chunked}, "400000\r\n", "", 0},
@@ -99,7 +99,7 @@
 		assert.Check(t, most < few.descriptors, "%d descriptors were open", most)
 	})
 	t.Run("connections with unfinished bodies", func(t *testing.T) {
-		assertWithstands(t, few, crowd, "/book/", unfinished{headers: []string{"Content-Length: 100"}, begin: "a"})
+		assertWithstands(t, few, crowd, "/book/", partialRequest{headers: []string{"Content-Length: 100"}, begin: "a"})
 	})
 	t.Run("connections beyond the process's own limit", func(t *testing.T) {
 		i := startInstances(t, limits{}, limits{})
--- a/coltsmetric/metric_table.go
+++ b/coltsmetric/metric_table.go
@@ -56,7 +56,8 @@
 	ChoicesOverloaded      = Metric{"choices-overloaded", "choices", "of those, choices whose upstream turned out to have more than twice the mean"}
 	Panics                 = Metric{"unexpected-errors", "errors", "requests and loops ended by a panic; the log has the stacks"}
 	BuffersExhausted       = Metric{"buffers-exhausted", "messages", "messages given up because the memory for buffers was used up"}
-	ConnectionsShed        = Metric{"connections-shed", "connections", "connections of callers ended because memory or descriptors were short"}
+	BodiesRefused          = Metric{"bodies-refused", "requests", "requests refused because their body was too long, too slow or broken, or found no room"}
+	ConnectionsShed        = Metric{"connections-shed", "connections", "connections ended because memory or descriptors were short, or too many were open"}
 	PartsBlocked           = Metric{"parts-blocked", "parts", "parts of prompts that crash upstreams; prompts with them are refused"}
 	UpstreamsLeft          = Metric{"upstreams-left", "upstreams", "processes of upstreams that said in a response that they are leaving"}
 	Pauses                 = Metric{"pauses", "pauses", "pauses that upstreams asked for"}
@@ -75,7 +76,7 @@
 	Requests, Refused, RequestsUnderWay, CallerDisconnects, Attempts, Retries, Resumes, WrongRequestIDs, SilentConnections,
 	StreamedParts, TokensComputed, TokensReused, FirstTokenMicros, FirstTokens, Lookups, Exports, ExportsFailed,
 	Announcements, UntrustedAnnouncements, Upstreams, CacheEvents, Grants, Replays, SettleRetries, Revision, LastContactMillis,
-	RoutesVersion, WatchFailures, RefusedNotRun, FailedUnknown, StreamsBroken, RequestsAtHome, ChoicesCompared, ChoicesOverloaded, Panics, BuffersExhausted, ConnectionsShed, PartsBlocked, UpstreamsLeft, Pauses,
+	RoutesVersion, WatchFailures, RefusedNotRun, FailedUnknown, StreamsBroken, RequestsAtHome, ChoicesCompared, ChoicesOverloaded, Panics, BuffersExhausted, BodiesRefused, ConnectionsShed, PartsBlocked, UpstreamsLeft, Pauses,
 	EvacuatedDataCentres, ColdUpstreams, ColdPermits, ColdWaits, LogLinesDropped,
 	UsageBatches, Commands, JournalSyncs, Snapshots,
 }
--- a/coltssettings/settings.go
+++ b/coltssettings/settings.go
@@ -44,6 +44,9 @@
 	ProbeTimeout   time.Duration `json:"probe-timeout" unit:"duration" min:"1ms" usage:"time in which an idle connection must answer a probe before it is used again"`
 	DrainNotice    time.Duration `json:"drain-notice" unit:"duration" min:"0s" usage:"time between failing readiness and refusing new connections at a shutdown"`
 	DrainTimeout   time.Duration `json:"drain-timeout" unit:"duration" min:"0s" usage:"time that running requests get to end at a shutdown"`
+
+	BodyBytes int `json:"body-bytes" unit:"bytes" min:"1048576" usage:"memory that the bodies of requests of more than 64 KB may take together while they are received and served; requests beyond it are refused as not run"`
+	MaxConns  int `json:"max-connections" unit:"connections" min:"16" usage:"connections from callers that are open at once, and likewise from upstreams; the one that has waited longest is closed for a further one"`
 }
 
 // Control holds the settings of a control instance.
@@ -65,6 +68,9 @@
 	ColdExcess      float64          `json:"cold-excess" unit:"factor" min:"0" usage:"factor on the requests a second that the route table allows to an upstream that is cold, for all gateways together"`
 	ColdSlack       float64          `json:"cold-slack" unit:"requests" min:"0" usage:"requests in a second that are allowed to such an upstream besides"`
 	Replicas        []Replica        `json:"replicas" unit:"instances" usage:"every control instance of the group: instance, address, and joins for one that is added to a running group; empty for a group of one"`
+
+	BodyBytes int `json:"body-bytes" unit:"bytes" min:"1048576" usage:"memory that the bodies of requests of more than 64 KB may take together while they are received and served; requests beyond it are refused as not applied"`
+	MaxConns  int `json:"max-connections" unit:"connections" min:"16" usage:"connections to control/service-address that are open at once; the one that has waited longest is closed for a further one"`
 }
 
 // Replica describes a control instance of the group to the other ones.
@@ -122,6 +128,8 @@
 			ProbeTimeout:   250 * time.Millisecond,
 			DrainNotice:    time.Second,
 			DrainTimeout:   10 * time.Minute,
+			BodyBytes:      256 << 20,
+			MaxConns:       2048,
 		},
 		Gateway: Gateway{
 			CallerAddr:   netip.MustParseAddrPort("127.0.0.1:8100"),
@@ -152,6 +160,8 @@
 			LoadOrderDelay: 3 * time.Second,
 			SilentAfter:    5 * time.Second,
 			ColdExcess:     1,
+			BodyBytes:      48 << 20,
+			MaxConns:       2048,
 		},
 	}
 }
