--- a/coltsbalance/balance_warmup.go
+++ b/coltsbalance/balance_warmup.go
@@ -14,17 +14,18 @@
 	"coltsfootstall/coltswarmup"
 )
 
-// coldCost is added to the cost of a cold upstream, as a share of its capacity. A cold upstream is empty but slow: by
-// its load alone it would be chosen over every warm one. So it is used only if the warm ones have half of a
-// capacity more load, when a slow answer is better than waiting for them. How slow it is, no report says.
+// coldCost is added to the cost of a cold upstream, as a share of its capacity. A cold upstream is empty
+// but slow: by its load alone it would be chosen over every warm one. So it is used only if the warm
+// ones have half of a capacity more load, when a slow answer is better than waiting for them. How slow
+// it is, no report says.
 const coldCost = 0.5
 
-// informedFor is how long the loads of the other instances say which upstreams have just returned. It spans several
-// polls of the leader.
+// informedFor is how long the loads of the other instances say which upstreams have just returned. It
+// spans several polls of the leader.
 const informedFor = 500 * time.Millisecond
 
-// isInformed reports whether a choice may rely on which upstreams seem empty. For services that limit requests to
-// cold processes it may not while the leader is not heard.
+// isInformed reports whether a choice may rely on which upstreams seem empty. For services that limit
+// requests to cold processes it may not while the leader is not heard.
 func (b *Balancer) isInformed(service coltsidentity.Service, now time.Time) bool {
 	if _, limited := b.coldDuration(service); !limited {
 		return true
@@ -33,9 +34,10 @@
 	return informedAt != nil && now.Sub(*informedAt) < informedFor
 }
 
-// pickUninformed is pick without the sample: it compares the home with one candidate that is drawn at random. A process that has
-// crashed and returned under the same ID while the leader is not heard is cold, but looks warm and empty to all
-// instances, and together they would send it more than it bears. Drawn at random, it gets an average share.
+// pickUninformed is pick without the sample: it compares the home with one candidate that is drawn at
+// random. A process that has crashed and returned under the same ID while the leader is not heard is
+// cold, but looks warm and empty to all instances, and together they would send it more than it bears.
+// Drawn at random, it gets an average share.
 func (b *Balancer) pickUninformed(d Demand, candidates []candidate) (int, bool) {
 	drawn, home := b.cfg.Random(len(candidates)), homeOf(d, candidates)
 	if home >= 0 && costOf(d, candidates[home], true) <= costOf(d, candidates[drawn], drawn == home) {
@@ -130,8 +132,8 @@
 	}
 }
 
-// SetPermits sets the permits that control has dealt to this instance. Those for other processes stay as they are until
-// they expire.
+// SetPermits sets the permits that control has dealt to this instance. Those for other processes stay as
+// they are until they expire.
 func (b *Balancer) SetPermits(permits []coltswarmup.Permit) {
 	for _, p := range permits {
 		s := &b.shards[coltsshard.Of(p.Process.ID)]
@@ -159,10 +161,10 @@
 	}
 }
 
-// RecordEnded records that a process of an upstream has ended: nothing listens at its address. Another one may
-// listen there at any moment under the same ID, and it is cold before control reports it, which takes
-// seconds if the leader is frozen. So the upstream counts as cold for the time of an outage that is as long as the cold time
-// and the cold time after it, or until control reports the next process.
+// RecordEnded records that a process of an upstream has ended: nothing listens at its address. Another
+// one may listen there at any moment under the same ID, and it is cold before control reports it, which
+// takes seconds if the leader is frozen. So the upstream counts as cold for the time of an outage that
+// is as long as the cold time and the cold time after it, or until control reports the next process.
 func (b *Balancer) RecordEnded(p coltsregistry.Process, now time.Time) {
 	s := &b.shards[coltsshard.Of(p.ID)]
 	s.mu.Lock()
--- a/coltscontrol/warmup_loop.go
+++ b/coltscontrol/warmup_loop.go
@@ -34,8 +34,8 @@
 	return w
 }
 
-// followRoutes applies each route table that comes into force, until ctx ends. It has a loop of its own because decoding a
-// large table takes long.
+// followRoutes applies each route table that comes into force, until ctx ends. It has a loop of its own
+// because decoding a large table takes long.
 func (w *warmup) followRoutes(ctx context.Context) {
 	version := coltsroute.Version(0)
 	for ctx.Err() == nil {
--- a/coltsregistry/registry_warmup.go
+++ b/coltsregistry/registry_warmup.go
@@ -57,8 +57,8 @@
 	return limited
 }
 
-// coldUntil returns until when the process of a report is cold. known is the last report of the same ID, nil if there
-// is none.
+// coldUntil returns until when the process of a report is cold. known is the last report of the same ID,
+// nil if there is none.
 func (r *Registry) coldUntil(u Upstream, known *Upstream, now time.Time) time.Time {
 	d, limited := r.warmup.duration(u.Service)
 	switch {
--- a/coltsreplica/replica.go
+++ b/coltsreplica/replica.go
@@ -220,9 +220,9 @@
 }
 
 // ConfirmedUntil returns the time that is ElectionTimeout, less ClockMargin, after the last round that a
-// quorum has acknowledged to this leader was sent. Unlike LeaseUntil it promises nothing about votes: it only bounds how
-// long a leader that has lost its quorum takes itself for one. It returns the zero time if this replica is not the
-// leader.
+// quorum has acknowledged to this leader was sent. Unlike LeaseUntil it promises nothing about votes: it
+// only bounds how long a leader that has lost its quorum takes itself for one. It returns the zero time
+// if this replica is not the leader.
 func (n *Replica) ConfirmedUntil() time.Time {
 	if n.role != RoleLeader {
 		return time.Time{}
--- a/coltswarmup/warmup_dealer.go
+++ b/coltswarmup/warmup_dealer.go
@@ -5,10 +5,10 @@
 // a process that it knows to be cold without one.
 package coltswarmup
 
-// The permits for one process are dealt at least Span divided by its limit apart. No half-open interval of
-// the length of Span then contains more permits than the limit, and all requests that arrive within one
-// second were dealt within one such interval. Spacing them also spreads them over the gateways and over time: dealt
-// all at once, most would expire before their gateways have a request for them.
+// The permits for one process are dealt at least Span divided by its limit apart. No half-open interval
+// of the length of Span then contains more permits than the limit, and all requests that arrive within
+// one second were dealt within one such interval. Spacing them also spreads them over the gateways and
+// over time: dealt all at once, most would expire before their gateways have a request for them.
 //
 // The state is kept by upstream ID rather than by process, so that a restart under the same ID gets no second
 // allowance: a request with a permit for the earlier process may still reach the later one.
@@ -74,9 +74,9 @@
 // rounded down.
 func Limit(rate, excess, slack float64) int { return int(rate*excess + slack) }
 
-// Deal returns the processes for which a gateway that asks at now gets a permit for one request each. It gets
-// at most an even share of the cold processes. A new leader deals nothing for a span, because it does not know what
-// its predecessor has dealt.
+// Deal returns the processes for which a gateway that asks at now gets a permit for one request each. It
+// gets at most an even share of the cold processes. A new leader deals nothing for a span, because it
+// does not know what its predecessor has dealt.
 func (d *Dealer) Deal(gateway coltsidentity.Instance, cold []Cold, lease Lease, now time.Time) []coltsregistry.Process {
 	share := d.turns.ask(gateway, len(cold), now)
 	if share == 0 || now.Before(lease.Since.Add(Span)) || !now.Before(lease.Until) {
--- a/coltswarmup/warmup_permits.go
+++ b/coltswarmup/warmup_permits.go
@@ -1,7 +1,7 @@
 package coltswarmup
 
-// What a gateway holds for one process. A permit for a later time replaces the earlier one rather than adding to it, so
-// that a gateway without requests collects none.
+// What a gateway holds for one process. A permit for a later time replaces the earlier one rather than
+// adding to it, so that a gateway without requests collects none.
 
 import "time"
 
@@ -18,7 +18,8 @@
 // Available reports whether there is a permit.
 func (p *Permits) Available(now time.Time) bool { return p.left > 0 && now.Before(p.until) }
 
-// Take takes a permit and returns until when its request may be sent. It returns the zero time if there is none.
+// Take takes a permit and returns until when its request may be sent. It returns the zero time if there
+// is none.
 func (p *Permits) Take(now time.Time) time.Time {
 	if !p.Available(now) {
 		return time.Time{}
