--- a/coltsbalance/balance_average_test.go
+++ b/coltsbalance/balance_average_test.go
@@ -12,84 +12,119 @@
 	"coltsfootstall/coltsregistry"
 )
 
-// shortRequests simulates instances that send requests of 30 ms to three application servers, and tell
-// each other their loads every reportInterval, with half of the servers' slots taken on average. It
-// returns the share of requests for which a server without a free slot is chosen though another has one.
-func shortRequests(estimate LoadEstimate, instances int) float64 {
-	const (
-		servers        = 3
-		slots          = 6
-		work           = 30 * time.Millisecond
-		step           = time.Millisecond
-		reportInterval = 100 * time.Millisecond
-		reportAge      = 50 * time.Millisecond
-		perStep        = 0.3
-		duration       = 20 * time.Second
-	)
-	start := time.Unix(1_700_000_000, 0)
-	random := rand.New(rand.NewPCG(1, uint64(instances)))
-	balancers := make([]*Balancer, instances)
-	for i := range balancers {
-		balancers[i] = New(Config{LoadEstimate: estimate, Random: random.IntN})
-		for s := range servers {
-			balancers[i].Update(coltsregistry.Entry{Upstream: coltsregistry.Upstream{
-				ID: coltsidentity.Upstream(fmt.Sprint("server-", s)), Service: "app", StartedAt: start,
+const (
+	appServers = 3
+	appSlots   = 6
+	// appWork is how long a request takes, appArrivals how many arrive in each step: half of the slots are
+	// taken on average.
+	appWork     = 30 * time.Millisecond
+	appStep     = time.Millisecond
+	appArrivals = 0.3
+	// Instances tell each other their loads every appReportInterval; they come after appReportAge.
+	appReportInterval = 100 * time.Millisecond
+	appReportAge      = 50 * time.Millisecond
+	appDuration       = 20 * time.Second
+)
+
+// appRequest is a request that is being served.
+type appRequest struct {
+	instance int
+	choice   Choice
+	endsAt   time.Time
+}
+
+// appReport holds the loads of all instances at one time.
+type appReport struct {
+	loads    [][]Load
+	arriveAt time.Time
+}
+
+// appSimulation has instances send short requests to application servers.
+type appSimulation struct {
+	random    *rand.Rand
+	balancers []*Balancer
+	requests  []appRequest
+	reports   []appReport
+	held      map[coltsidentity.Upstream]int
+	// chosen counts the requests, overrun those for which a server without a free slot was chosen though
+	// another had one.
+	chosen  int
+	overrun int
+}
+
+func newAppSimulation(estimate LoadEstimate, instances int) *appSimulation {
+	s := &appSimulation{random: rand.New(rand.NewPCG(1, uint64(instances))), held: map[coltsidentity.Upstream]int{}}
+	for range instances {
+		b := New(Config{LoadEstimate: estimate, Random: s.random.IntN})
+		for server := range appServers {
+			b.Update(coltsregistry.Entry{Upstream: coltsregistry.Upstream{
+				ID: coltsidentity.Upstream(fmt.Sprint("server-", server)), Service: "app", StartedAt: time.Unix(1_700_000_000, 0),
 			}})
 		}
+		s.balancers = append(s.balancers, b)
 	}
-	type running struct {
-		instance int
-		choice   Choice
-		endsAt   time.Time
-	}
-	type report struct {
-		loads    [][]Load
-		arriveAt time.Time
-	}
-	var requests []running
-	var reports []report
-	held := map[coltsidentity.Upstream]int{}
-	chosen, overrun := 0, 0
-	for now := start; now.Before(start.Add(duration)); now = now.Add(step) {
-		kept := requests[:0]
-		for _, r := range requests {
-			if now.Before(r.endsAt) {
-				kept = append(kept, r)
-				continue
-			}
-			balancers[r.instance].Done(r.choice, OutcomeAnswered, now)
-			held[r.choice.Upstream.ID]--
-		}
-		requests = kept
-		if now.Sub(start)%reportInterval == 0 {
-			r := report{arriveAt: now.Add(reportAge)}
-			for _, b := range balancers {
-				r.loads = append(r.loads, b.Loads())
-			}
-			reports = append(reports, r)
-		}
-		for len(reports) > 0 && !now.Before(reports[0].arriveAt) {
-			for i, b := range balancers {
-				b.SetPeerLoads(sumOfOthers(reports[0].loads, i), now)
-			}
-			reports = reports[1:]
-		}
-		if random.Float64() >= perStep {
+	return s
+}
+
+// endRequests ends the requests that have been served.
+func (s *appSimulation) endRequests(now time.Time) {
+	kept := s.requests[:0]
+	for _, r := range s.requests {
+		if now.Before(r.endsAt) {
+			kept = append(kept, r)
 			continue
 		}
-		i := random.IntN(instances)
-		choice, err := balancers[i].Choose(Demand{Service: "app", Weight: 1, Capacity: 1}, now)
-		if err != nil {
-			panic(err)
+		s.balancers[r.instance].Done(r.choice, OutcomeAnswered, now)
+		s.held[r.choice.Upstream.ID]--
+	}
+	s.requests = kept
+}
+
+// exchangeLoads sends a report if one is due, and applies those that have arrived.
+func (s *appSimulation) exchangeLoads(since time.Duration, now time.Time) {
+	if since%appReportInterval == 0 {
+		r := appReport{arriveAt: now.Add(appReportAge)}
+		for _, b := range s.balancers {
+			r.loads = append(r.loads, b.Loads())
+		}
+		s.reports = append(s.reports, r)
+	}
+	for len(s.reports) > 0 && !now.Before(s.reports[0].arriveAt) {
+		for i, b := range s.balancers {
+			b.SetPeerLoads(sumOfOthers(s.reports[0].loads, i), now)
 		}
-		chosen++
-		if held[choice.Upstream.ID] >= slots && len(requests) < servers*slots {
-			overrun++
+		s.reports = s.reports[1:]
+	}
+}
+
+// sendRequest has a random instance send a request.
+func (s *appSimulation) sendRequest(t *testing.T, now time.Time) {
+	t.Helper()
+	i := s.random.IntN(len(s.balancers))
+	choice, err := s.balancers[i].Choose(Demand{Service: "app", Weight: 1, Capacity: 1}, now)
+	assert.NilError(t, err)
+	s.chosen++
+	if s.held[choice.Upstream.ID] >= appSlots && len(s.requests) < appServers*appSlots {
+		s.overrun++
+	}
+	s.held[choice.Upstream.ID]++
+	s.requests = append(s.requests, appRequest{i, choice, now.Add(appWork)})
+}
+
+// overrunShare returns the share of requests for which a server without a free slot is chosen though
+// another has one.
+func overrunShare(t *testing.T, estimate LoadEstimate, instances int) float64 {
+	t.Helper()
+	s := newAppSimulation(estimate, instances)
+	for since := time.Duration(0); since < appDuration; since += appStep {
+		now := time.Unix(1_700_000_000, 0).Add(since)
+		s.endRequests(now)
+		s.exchangeLoads(since, now)
+		if s.random.Float64() < appArrivals {
+			s.sendRequest(t, now)
 		}
-		held[choice.Upstream.ID]++
-		requests = append(requests, running{i, choice, now.Add(work)})
 	}
-	return float64(overrun) / float64(chosen)
+	return float64(s.overrun) / float64(s.chosen)
 }
 
 // sumOfOthers returns the loads of all instances except one.
@@ -116,7 +151,7 @@
 	const maxShare = 0.1
 	for _, instances := range []int{10, 30, 100} {
 		t.Run(fmt.Sprintf("%d instances rarely choose a server without a free slot", instances), func(t *testing.T) {
-			averaged, newest := shortRequests(EstimateAveraged, instances), shortRequests(EstimateNewest, instances)
+			averaged, newest := overrunShare(t, EstimateAveraged, instances), overrunShare(t, EstimateNewest, instances)
 			t.Logf("averaged %.3f, newest %.3f", averaged, newest)
 			assert.Assert(t, averaged < maxShare)
 			assert.Assert(t, averaged < newest)
