Explain where a gateway would send a request

Operators could not see why a request went where it did. The command explain asks a running gateway over its operators' address, which goes through the same checks and cost terms as a real choice: Balancer.candidates and Explain share exclusion and termsOf. Nothing is sent, reserved or counted (TestExplain, TestExplanation).

--- a/coltsbalance/balancer.go
+++ b/coltsbalance/balancer.go
@@ -185,29 +185,25 @@
 	for i := range b.shards {
 		s := &b.shards[i]
 		s.mu.Lock()
-		for id, u := range s.upstreams {
+		for _, u := range s.upstreams {
 			if u.record.Service != d.Service {
 				continue
 			}
 			known++
-			if b.isEvacuated(u.record.DataCentre) || !u.usable(now) || slices.Contains(d.Exclude, id) || u.weightsVersion(d.Model) < d.MinWeights {
-				continue
-			}
-			if until := u.advice.PausedUntil(now); !until.IsZero() {
-				if pausedUntil.IsZero() || until.Before(pausedUntil) {
+			switch b.exclusion(u, d, now) {
+			case ExclusionNone:
+			case ExclusionPaused:
+				if until := u.advice.PausedUntil(now); pausedUntil.IsZero() || until.Before(pausedUntil) {
 					pausedUntil = until
 				}
 				continue
-			}
-			if b.lacksPermit(u, now) {
+			case ExclusionNoPermit:
 				lacking++
 				continue
+			default:
+				continue
 			}
-			c := candidate{id: id, cold: b.isCold(u, now), load: b.estimatedLoad(u, d, now), avoided: u.avoided(now), score: coltsshard.RendezvousScore(d.Affinity, id),
-				inCacheDataCentre: d.CacheDataCentre != "" && u.record.DataCentre == d.CacheDataCentre, prefill: u.prefill}
-			if now.Before(u.gapUntil) {
-				c.gap = u.gap
-			}
+			c := b.newCandidate(u, d, now)
 			if !c.avoided {
 				preferred++
 			}
@@ -225,6 +221,17 @@
 	return all, known, pausedUntil
 }
 
+// newCandidate returns a snapshot of an upstream, whose shard is locked.
+func (b *Balancer) newCandidate(u *upstream, d Demand, now time.Time) candidate {
+	id := u.record.ID
+	c := candidate{id: id, cold: b.isCold(u, now), load: b.estimatedLoad(u, d, now), avoided: u.avoided(now), score: coltsshard.RendezvousScore(d.Affinity, id),
+		inCacheDataCentre: d.CacheDataCentre != "" && u.record.DataCentre == d.CacheDataCentre, prefill: u.prefill}
+	if now.Before(u.gapUntil) {
+		c.gap = u.gap
+	}
+	return c
+}
+
 // pick returns the index of the chosen candidate and whether it is the demand's home. The
 // least-loaded policy compares the home and a random sample of the candidates, and picks the
 // one with the lowest cost. It does not compare all candidates because instances learn of
@@ -288,23 +295,8 @@
 	return drawn
 }
 
-// costOf returns the cost of a candidate, as a share of its capacity: the load that it would
-// have, less the bonuses, plus the penalties for slow streams and outstanding prefill.
-func costOf(d Demand, c candidate, home bool) float64 {
-	cost := (c.load + d.Weight) / max(1, d.Capacity)
-	if home && !c.cold {
-		cost -= d.HomeBonus
-	}
-	if c.inCacheDataCentre {
-		cost -= d.DataCentreBonus
-	}
-	if c.cold {
-		cost += coldCost
-	}
-	cost += d.PacePenalty * c.slowdown
-	cost += d.PrefillPenalty * (c.prefill + d.Prefill) / max(1, d.Capacity)
-	return cost
-}
+// costOf returns the cost of a candidate, as a share of its capacity.
+func costOf(d Demand, c candidate, home bool) float64 { return termsOf(d, c, home).Sum() }
 
 // reserve adds a demand to an upstream's load. It returns false if the upstream has become
 // unusable.
--- a/coltscommand/command_table.go
+++ b/coltscommand/command_table.go
@@ -27,6 +27,7 @@
 	commandReplica,
 	commandReport,
 	commandSuspects,
+	commandExplain,
 	commandSettings,
 	commandMetrics,
 }
--- a/coltsgateway/gateway_operator.go
+++ b/coltsgateway/gateway_operator.go
@@ -54,6 +54,8 @@
 	case "/debug/latencies":
 		ctx.SetContentType("application/json")
 		ctx.SetBody(g.latency.json())
+	case ExplainPath:
+		g.serveExplanation(ctx)
 	default:
 		ctx.Error("there is no such path", fasthttp.StatusNotFound)
 	}
