--- a/coltssettings/settings.go
+++ b/coltssettings/settings.go
@@ -161,7 +161,7 @@
 			SilentAfter:    5 * time.Second,
 			ColdExcess:     1,
 			BodyBytes:      48 << 20,
-			MaxConns:       2048,
+			MaxConns:       3300,
 		},
 	}
 }
