Explain the error that a choice would return, by the same code

An operator who asked explain about a service whose upstreams had all paused, were cold or were evacuated was told that there is no upstream and that the request is refused. The request would wait, or be refused with another Retry-After: Explain had a rule of its own for the end of a choice, and the gateway one for waiting, and an expired load of the others still counted.

Choose and Explain now share noCandidateError and utilisation, and the gateway decides with mayWait as for a request. exclusion, awaitsPermit and evacuatedError shared a condition in three copies; it is upstream.unsuitable.

--- a/coltsbalance/balance_evacuation.go
+++ b/coltsbalance/balance_evacuation.go
@@ -65,10 +65,9 @@
 	for i := range b.shards {
 		s := &b.shards[i]
 		s.mu.Lock()
-		for id, u := range s.upstreams {
+		for _, u := range s.upstreams {
 			dc := u.record.DataCentre
-			if u.record.Service != d.Service || !b.isEvacuated(dc) || !u.usable(now) ||
-				slices.Contains(d.Exclude, id) || u.weightsVersion(d.Model) < d.MinWeights {
+			if u.record.Service != d.Service || !b.isEvacuated(dc) || u.unsuitable(d, now) != ExclusionNone {
 				continue
 			}
 			e.Upstreams++
--- a/coltsbalance/balance_explain.go
+++ b/coltsbalance/balance_explain.go
@@ -31,19 +31,31 @@
 
 // exclusion returns what excludes an upstream, whose shard is locked, whatever the other upstreams are.
 func (b *Balancer) exclusion(u *upstream, d Demand, now time.Time) Exclusion {
-	switch {
-	case b.isEvacuated(u.record.DataCentre):
+	if b.isEvacuated(u.record.DataCentre) {
 		return ExclusionEvacuated
+	}
+	if e := u.unsuitable(d, now); e != ExclusionNone {
+		return e
+	}
+	switch {
+	case !u.advice.PausedUntil(now).IsZero():
+		return ExclusionPaused
+	case b.lacksPermit(u, now):
+		return ExclusionNoPermit
+	}
+	return ExclusionNone
+}
+
+// unsuitable returns why an upstream can't serve a demand, neither now nor after a pause, with a permit or
+// after an evacuation.
+func (u *upstream) unsuitable(d Demand, now time.Time) Exclusion {
+	switch {
 	case !u.usable(now):
 		return u.unusable()
 	case slices.Contains(d.Exclude, u.record.ID):
 		return ExclusionTried
 	case u.weightsVersion(d.Model) < d.MinWeights:
 		return ExclusionOldWeights
-	case !u.advice.PausedUntil(now).IsZero():
-		return ExclusionPaused
-	case b.lacksPermit(u, now):
-		return ExclusionNoPermit
 	}
 	return ExclusionNone
 }
@@ -110,6 +122,10 @@
 	PeerLoad      float64
 	PeerLoadAt    time.Time
 	PeerLoadUntil time.Time
+	// PausedUntil is when the pause that it has asked for ends; zero for none.
+	PausedUntil time.Time
+	// Utilisation is the load with the demand as a limit counts it.
+	Utilisation float64
 }
 
 // Explanation is what a choice for a demand would consider. The choice itself compares the home with some
@@ -119,19 +135,9 @@
 	Upstreams []Explained
 	// Compared is the number of candidates that are drawn at random beside the home.
 	Compared int
-	// OverLimit is set if the candidate with the lowest cost has no room, so the request would wait.
-	OverLimit bool
-}
-
-// Candidates returns the number of upstreams that may be chosen.
-func (e Explanation) Candidates() int {
-	n := 0
-	for _, u := range e.Upstreams {
-		if u.Excluded == ExclusionNone {
-			n++
-		}
-	}
-	return n
+	// Err is the error that a choice would return; nil if it would find an upstream. A choice may still find
+	// no room at those that it draws.
+	Err error
 }
 
 // Explain returns what a choice for a demand would consider now. It changes nothing.
@@ -150,6 +156,7 @@
 			e := Explained{
 				Upstream: u.record.ID, DataCentre: u.record.DataCentre, Excluded: b.exclusion(u, d, now),
 				OwnLoad: u.load, PeerLoad: u.peerLoad, PeerLoadAt: u.peerLoadUntil.Add(-peerLoadTTL), PeerLoadUntil: u.peerLoadUntil,
+				PausedUntil: u.advice.PausedUntil(now),
 			}
 			explained, candidates = append(explained, e), append(candidates, b.newCandidate(u, d, now))
 			preferred = preferred || e.Excluded == ExclusionNone && !u.avoided(now)
@@ -168,15 +175,25 @@
 			cmp.Compare(x.Upstream, y.Upstream),
 		)
 	})
-	e := Explanation{Upstreams: explained, Compared: maxSample}
-	if len(explained) > 0 && explained[0].Excluded == ExclusionNone {
-		e.OverLimit = d.Limit > 0 && explained[0].load() > 0 && explained[0].Terms.Load > d.Limit
-	}
-	return e
+	return Explanation{Upstreams: explained, Compared: maxSample, Err: b.explainedError(d, explained, now)}
 }
 
-// load returns the load that is known of an upstream.
-func (e Explained) load() float64 { return e.OwnLoad + e.PeerLoad }
+// explainedError returns the error of a choice among upstreams that are sorted as in an Explanation.
+func (b *Balancer) explainedError(d Demand, explained []Explained, now time.Time) error {
+	if len(explained) == 0 || explained[0].Excluded != ExclusionNone {
+		var pausedUntil time.Time
+		for _, e := range explained {
+			if e.Excluded == ExclusionPaused && (pausedUntil.IsZero() || e.PausedUntil.Before(pausedUntil)) {
+				pausedUntil = e.PausedUntil
+			}
+		}
+		return b.noCandidateError(d, len(explained), pausedUntil, now)
+	}
+	if load := explained[0].Utilisation; d.Limit > 0 && load > d.Limit {
+		return &FullError{Service: d.Service, Load: load}
+	}
+	return nil
+}
 
 // excludeAvoided marks the candidates that are chosen only if there are no others.
 func excludeAvoided(explained []Explained, candidates []candidate, loading []bool) {
@@ -204,5 +221,6 @@
 	for k, c := range usable {
 		explained[indexes[k]].Home = k == home
 		explained[indexes[k]].Terms = termsOf(d, c, k == home)
+		explained[indexes[k]].Utilisation = utilisation(d, usable, k)
 	}
 }
--- a/coltsbalance/balance_explain_test.go
+++ b/coltsbalance/balance_explain_test.go
@@ -1,6 +1,7 @@
 package coltsbalance
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -42,7 +43,7 @@
 	})
 	t.Run("what excludes an upstream is named", func(t *testing.T) {
 		b := newBalancer()
-		b.RecordPause("a", b.Explain(d, now).startOf(t, b, "a"), now.Add(time.Second), now)
+		b.RecordPause("a", now, now.Add(time.Second), now)
 		b.Update(entry("b", coltsregistry.StateDraining, 2))
 		assertExplained(t, b.Explain(d, now), "c ", "a paused", "b not-ready")
 		assertExplained(t, b.Explain(Demand{Service: "llm", Exclude: []coltsidentity.Upstream{"c"}}, now), "a paused", "b not-ready", "c tried")
@@ -52,8 +53,24 @@
 		b.SetPeerLoads([]Load{{Upstream: "a", Amount: 95}, {Upstream: "b", Amount: 95}, {Upstream: "c", Amount: 95}}, now)
 		long := d
 		long.Limit = 1
-		assert.Assert(t, b.Explain(long, now).OverLimit)
-		assert.Assert(t, !b.Explain(d, now).OverLimit)
+		var full *FullError
+		assert.Assert(t, errors.As(b.Explain(long, now).Err, &full))
+		assert.NilError(t, b.Explain(d, now).Err)
+	})
+	t.Run("without a candidate the error is that of a choice", func(t *testing.T) {
+		b := newBalancer()
+		for _, id := range []coltsidentity.Upstream{"a", "b", "c"} {
+			assert.Assert(t, b.RecordPause(id, now, now.Add(time.Second), now))
+		}
+		_, err := b.Choose(d, now)
+		assert.Assert(t, err != nil)
+		assert.DeepEqual(t, b.Explain(d, now).Err, err)
+		b.SetEvacuations([]coltsidentity.DataCentre{b.Explain(d, now).Upstreams[0].DataCentre})
+		_, err = b.Choose(d, now)
+		assert.DeepEqual(t, b.Explain(d, now).Err, err)
+		b.SetEvacuations(nil)
+		_, err = b.Choose(Demand{Service: "none"}, now)
+		assert.DeepEqual(t, b.Explain(Demand{Service: "none"}, now).Err, err)
 	})
 	t.Run("nothing changes", func(t *testing.T) {
 		b, untouched := newBalancer(), newBalancer()
@@ -65,23 +82,3 @@
 		assert.DeepEqual(t, b.Explain(d, now), untouched.Explain(d, now))
 	})
 }
-
-// startOf returns when the process of an explained upstream started.
-func (e Explanation) startOf(t *testing.T, b *Balancer, id coltsidentity.Upstream) time.Time {
-	t.Helper()
-	choice, err := b.Choose(Demand{Service: "llm", Exclude: others(e, id)}, now)
-	assert.NilError(t, err)
-	b.Done(choice, OutcomeNeutral, now)
-	return choice.Upstream.StartedAt
-}
-
-// others returns the upstreams of an explanation except one.
-func others(e Explanation, except coltsidentity.Upstream) []coltsidentity.Upstream {
-	var ids []coltsidentity.Upstream
-	for _, u := range e.Upstreams {
-		if u.Upstream != except {
-			ids = append(ids, u.Upstream)
-		}
-	}
-	return ids
-}
--- a/coltsbalance/balance_warmup.go
+++ b/coltsbalance/balance_warmup.go
@@ -5,7 +5,6 @@
 // balancer chooses as if no upstream were ever cold.
 
 import (
-	"slices"
 	"time"
 
 	"coltsfootstall/coltsidentity"
@@ -109,9 +108,8 @@
 	for i := range b.shards {
 		s := &b.shards[i]
 		s.mu.Lock()
-		for id, u := range s.upstreams {
-			if u.record.Service == d.Service && b.lacksPermit(u, now) && u.usable(now) && !slices.Contains(d.Exclude, id) &&
-				u.weightsVersion(d.Model) >= d.MinWeights {
+		for _, u := range s.upstreams {
+			if u.record.Service == d.Service && b.lacksPermit(u, now) && u.unsuitable(d, now) == ExclusionNone {
 				s.mu.Unlock()
 				return true
 			}
--- a/coltsbalance/balancer.go
+++ b/coltsbalance/balancer.go
@@ -163,16 +163,22 @@
 		}
 		candidates = slices.Delete(candidates, i, i+1)
 	}
+	return Choice{}, b.noCandidateError(d, known, pausedUntil, now)
+}
+
+// noCandidateError returns why there is no candidate for a demand. known is the number of the service's
+// upstreams, and pausedUntil when the first pause of one that could be chosen otherwise ends.
+func (b *Balancer) noCandidateError(d Demand, known int, pausedUntil, now time.Time) error {
 	if b.awaitsPermit(d, now) {
-		return Choice{}, &FullError{Service: d.Service, Cold: true}
+		return &FullError{Service: d.Service, Cold: true}
 	}
 	if !pausedUntil.IsZero() {
-		return Choice{}, &PausedError{Service: d.Service, Until: pausedUntil}
+		return &PausedError{Service: d.Service, Until: pausedUntil}
 	}
 	if err := b.evacuatedError(d, now); err != nil {
-		return Choice{}, err
+		return err
 	}
-	return Choice{}, &NoUpstreamError{Service: d.Service, Known: known}
+	return &NoUpstreamError{Service: d.Service, Known: known}
 }
 
 // candidates returns the upstreams that may be chosen, the number of the service's known upstreams,
--- a/coltsgateway/gateway_explain.go
+++ b/coltsgateway/gateway_explain.go
@@ -153,6 +153,10 @@
 	}
 }
 
+func (e *Explanation) wait(reason string, until, now time.Time) {
+	e.Outcome, e.Reason, e.WaitMillis = outcomeWait, reason, until.Sub(now).Milliseconds()
+}
+
 // explainChoice explains the choice of the request's upstream.
 func (f *forwarding) explainChoice(e *Explanation, now time.Time) {
 	g, demand := f.g, f.demand()
@@ -168,11 +172,12 @@
 	mustQueue := demand.Limit > 0 && g.queue.MustWait(f.lifecycle.Service, f.lifecycle.Priority(), now)
 	switch {
 	case f.explainRefusal(e, now):
-	case explanation.Candidates() == 0:
-		e.refuse(f.lifecycle.NoUpstreamRefusal(&coltsbalance.NoUpstreamError{Service: f.lifecycle.Service, Known: len(e.Upstreams)}, now), now)
-	case mustQueue || explanation.OverLimit:
-		e.Outcome, e.Reason = outcomeWait, "no upstream has room, or requests with a higher priority are queued"
-		e.WaitMillis = f.lifecycle.QueueDeadline().Sub(now).Milliseconds()
+	case mustQueue:
+		e.wait("requests that go first are queued", f.lifecycle.QueueDeadline(), now)
+	case f.mayWait(explanation.Err):
+		e.wait(explanation.Err.Error(), f.lifecycle.QueueDeadline(), now)
+	case explanation.Err != nil:
+		e.refuse(f.lifecycle.NoUpstreamRefusal(explanation.Err, now), now)
 	default:
 		e.Outcome = outcomeSend
 	}
