Convert the memory of the machine to bytes in one place

The gateway and the command line each had the size of a megabyte and the conversion; Settings.MemoryBytes serves both. Nothing changes for callers.

--- a/coltscommand/command_instance.go
+++ b/coltscommand/command_instance.go
@@ -24,9 +24,6 @@
 	"coltsfootstall/platform"
 )
 
-// bytesPerMegabyte is the smaller of the two usual sizes, so that no machine is taken for a larger one.
-const bytesPerMegabyte = 1_000_000
-
 func commandEntry() *cli.Command {
 	return &cli.Command{
 		Name:  "entry",
@@ -157,10 +154,10 @@
 		return err
 	}
 	log := newLog(c, settings)
-	if megabytes := settings.MemoryMB; megabytes > 0 {
+	if memory := settings.MemoryBytes(); memory > 0 {
 		// Within the budget for buffers the heap stays below this limit, and the collector runs as often
 		// as without it.
-		debug.SetMemoryLimit(int64(coltsbuffer.RuntimeLimit(int(megabytes * bytesPerMegabyte))))
+		debug.SetMemoryLimit(int64(coltsbuffer.RuntimeLimit(memory)))
 	}
 	gateway := coltsgateway.New(coltsgateway.Config{Settings: settings, Dialect: platform.Dialect(), Log: log})
 	return runInstance(ctx, c, log, instance{start: gateway.Start, shutdown: gateway.Shutdown, reload: gateway.Reload})
--- a/coltsgateway/gateway.go
+++ b/coltsgateway/gateway.go
@@ -41,8 +41,6 @@
 	// refused. A request that happened to be running on two upstreams when another request
 	// crashed them is still served.
 	crashesToQuarantine = 3
-	// bytesPerMegabyte is the smaller of the two usual sizes, so that no machine is taken for a larger one.
-	bytesPerMegabyte = 1_000_000
 )
 
 // Config is the configuration of a gateway instance.
@@ -150,8 +148,8 @@
 		}),
 	}
 	budget := coltsbuffer.FixedSize(cfg.Settings.Gateway.BufferBytes)
-	if megabytes := cfg.Settings.MemoryMB; megabytes > 0 {
-		budget = coltsbuffer.ForMemory(int(megabytes * bytesPerMegabyte))
+	if memory := cfg.Settings.MemoryBytes(); memory > 0 {
+		budget = coltsbuffer.ForMemory(memory)
 		g.connBytes = coltsbuffer.ConnectionBytes
 	}
 	budget.MakeRoom = g.makeRoom
--- a/coltssettings/settings.go
+++ b/coltssettings/settings.go
@@ -24,6 +24,12 @@
 	Control     Control `json:"control" usage:"settings of a control instance"`
 }
 
+// bytesPerMegabyte is the smaller of the two usual sizes, so that no machine is taken for a larger one.
+const bytesPerMegabyte = 1_000_000
+
+// MemoryBytes returns the memory of the machine in bytes; 0 if it is not given.
+func (s Settings) MemoryBytes() int { return int(s.MemoryMB * bytesPerMegabyte) }
+
 // Entry holds the settings of an entry instance.
 type Entry struct {
 	CallerAddr   netip.AddrPort   `json:"caller-address" unit:"address" usage:"where callers are served"`
