Count cold upstreams only where a service limits them, and keep the customers' figures

A gateway looked at all upstreams with each reply of control to count those that are cold, also where no service limits requests to them. It no longer does.

--- a/coltsbalance/balance_warmup.go
+++ b/coltsbalance/balance_warmup.go
@@ -182,6 +182,9 @@
 // ColdUpstreams returns the number of upstreams that are cold.
 func (b *Balancer) ColdUpstreams(now time.Time) int {
 	n := 0
+	if durations := b.coldDurations.Load(); durations == nil || len(*durations) == 0 {
+		return n
+	}
 	for i := range b.shards {
 		s := &b.shards[i]
 		s.mu.Lock()
--- a/coltstrade/trade_scenario.go
+++ b/coltstrade/trade_scenario.go
@@ -204,7 +204,7 @@
 // customerLoadAge makes the loads of the other gateways 50 to 150 ms old, 100 ms in the mean.
 const customerLoadAge = 50 * time.Millisecond
 
-// customerA returns a scenario with the load and the instances of customer A of docs/HARD-LOAD.md:
+// customerA returns a scenario with the load and the instances of customer A of docs/design/hard-load.md:
 // many gateways, and bursts of long and short requests. Its duration is one wave of the arrival rate.
 func customerA(usage string, crash Crash) Scenario {
 	s := customerScenario("customer A: "+usage, crash, 5)
@@ -226,7 +226,7 @@
 	return s
 }
 
-// customerB returns a scenario with the load and the instances of customer B of docs/HARD-LOAD.md:
+// customerB returns a scenario with the load and the instances of customer B of docs/design/hard-load.md:
 // few slots, and uneven gateways, runners and sessions.
 func customerB(usage string, crash Crash) Scenario {
 	s := customerScenario("customer B: "+usage, crash, 7)
