Let the upstream of a slow-reader test wait longer than the gateway's bound

Cause, by a trace of the gateway's writes: the test's upstream cut off after 1 s, which is also the time from which the gateway counts a wait as the caller's.

The upstream of that case now waits 3 s; the cases of crowds keep 1 s.

--- a/coltscrowd/reader_test.go
+++ b/coltscrowd/reader_test.go
@@ -28,6 +28,11 @@
 	readerResponse = 4 << 20
 	// readerDeadlineMs is the deadline of their requests.
 	readerDeadlineMs = 2000
+	// unreadTime is how long an upstream waits for a response to be read. laterUnreadTime is that of the
+	// stream whose caller reads later: a gateway blames the caller if the wait took at least 1 s, and a cut
+	// after just 1 s falls on either side of it.
+	unreadTime      = time.Second
+	laterUnreadTime = 3 * time.Second
 )
 
 // answer writes a response as an upstream of the platform.
@@ -42,7 +47,7 @@
 var aloneCutOff atomic.Bool
 
 // serveReaders serves requests by the last part of their path: long with a long response, endless with a
-// stream that ends only when it can't be written for 1 s, and others with the length of their body.
+// stream that ends only when it isn't read for a while, and others with the length of their body.
 func serveReaders(w http.ResponseWriter, r *http.Request) {
 	n, _ := io.Copy(io.Discard, r.Body)
 	switch {
@@ -50,11 +55,15 @@
 		answer(w, r, "text/plain", func(w io.Writer) { _, _ = io.WriteString(w, strings.Repeat("a", readerResponse)) })
 	case strings.HasSuffix(r.URL.Path, "/endless"):
 		event := []byte("data: " + strings.Repeat("a", 16<<10) + "\n\n")
+		alone, unread := r.URL.Path == "/once/alone/endless", unreadTime
+		if alone {
+			unread = laterUnreadTime
+		}
 		answer(w, r, "text/event-stream", func(body io.Writer) {
 			for {
-				_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(time.Second))
+				_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(unread))
 				if _, err := body.Write(event); err != nil {
-					if r.URL.Path == "/once/alone/endless" {
+					if alone {
 						aloneCutOff.Store(true)
 					}
 					panic(http.ErrAbortHandler)
