Search each byte of a stream once for the ends of events

Cause: with each read the gateway searched the whole unfinished event again, so an event of 1 MB in chunks of 4 bytes cost a quadratic amount of work.

The stream keeps how far it has searched. A CR at the end of what has arrived is searched again, as before, because its LF may follow.

--- a/coltsgateway/forward_stream.go
+++ b/coltsgateway/forward_stream.go
@@ -72,6 +72,8 @@
 	x      *exchange
 	buffer []byte
 	out    []byte
+	// scanned is how far the buffer has been searched for the ends of events.
+	scanned eventScan
 	// callerSlow is set once a write has waited for the caller for slowReaderTime.
 	callerSlow bool
 }
@@ -92,7 +94,7 @@
 	}
 	n, err := s.x.body.Read(s.buffer[len(s.buffer):cap(s.buffer)])
 	s.buffer = s.buffer[:len(s.buffer)+n]
-	end := endOfEvents(s.buffer)
+	end := s.scanned.endOfEvents(s.buffer)
 	ended := errors.Is(err, io.EOF)
 	if ended && s.isEvents() && len(bytes.TrimSpace(s.buffer[end:])) > 0 {
 		// Whatever the framing says, the rest of this event is missing.
@@ -107,15 +109,47 @@
 	return ended, err
 }
 
+// eventScan searches a buffer that grows for the ends of events, each byte once: an event of 1 MB may come
+// in some hundred thousand reads.
+type eventScan struct {
+	// next is the index of the first byte that has not been searched, lineStart that of its line's start.
+	next      int
+	lineStart int
+}
+
 // endOfEvents returns the index just behind the last complete event, 0 if there is none.
-func endOfEvents(b []byte) int {
+func (s *eventScan) endOfEvents(b []byte) int {
 	end := 0
-	for event := range events(b) {
-		end += len(event)
+	for i := s.next; i < len(b); i++ {
+		if b[i] != '\n' && b[i] != '\r' {
+			continue
+		}
+		isEmpty := i == s.lineStart
+		if b[i] == '\r' && i+1 == len(b) {
+			// An LF of the same line may follow, so this byte is searched again.
+			s.next = i
+			if isEmpty {
+				end = i + 1
+			}
+			return end
+		}
+		if b[i] == '\r' && b[i+1] == '\n' {
+			i++
+		}
+		s.lineStart = i + 1
+		if isEmpty {
+			end = s.lineStart
+		}
 	}
+	s.next = len(b)
 	return end
 }
 
+// drop records that the first n bytes have been removed from the buffer.
+func (s *eventScan) drop(n int) {
+	s.next, s.lineStart = max(0, s.next-n), max(0, s.lineStart-n)
+}
+
 // events iterates over the complete events in b. An event ends with an empty line, and a line with LF,
 // CR LF or CR.
 func events(b []byte) iter.Seq[[]byte] {
@@ -158,6 +192,7 @@
 		s.out = appendChunk(s.out, s.buffer[:n])
 		s.f.recordEvents(s.buffer[:n])
 		s.buffer = append(s.buffer[:0], s.buffer[n:]...)
+		s.scanned.drop(n)
 	}
 	if last {
 		s.out = append(s.out, lastChunk...)
--- a/coltsgateway/upstream_body_test.go
+++ b/coltsgateway/upstream_body_test.go
@@ -28,6 +28,6 @@
 			assert.Assert(t, len(content) <= limit)
 		}
 		_ = newBody(bufio.NewReader(strings.NewReader(text)), framing).discard(limit)
-		endOfEvents([]byte(text))
+		new(eventScan).endOfEvents([]byte(text))
 	})
 }
