Find descriptors for upstreams, and say when none is left for callers

A dial that finds no descriptor closes the connection that has been idle longest and tries once more. A gateway is not ready for 1 s after a failed accept, until it accepts another connection.

Ruled out: closing all idle connections to upstreams after a failed accept.

TestDescriptors (coltspool) fails without the retry.

--- a/coltscrowd/control_test.go
+++ b/coltscrowd/control_test.go
@@ -103,13 +103,18 @@
 	assert.Check(t, highest < descriptors, "%d descriptors were open", highest)
 }
 
-// limitDescriptors lowers the number of descriptors that a process may have open.
+// limitDescriptors sets the number of descriptors that a process may have open.
 func limitDescriptors(t *testing.T, p *process, n int) {
 	t.Helper()
-	limit := syscall.Rlimit{Cur: uint64(n), Max: uint64(n)}
-	_, _, errno := syscall.Syscall6(syscall.SYS_PRLIMIT64, uintptr(p.cmd.Process.Pid), syscall.RLIMIT_NOFILE,
-		uintptr(unsafe.Pointer(&limit)), 0, 0, 0)
-	assert.Equal(t, errno, syscall.Errno(0))
+	prlimit := func(set, previous *syscall.Rlimit) {
+		_, _, errno := syscall.Syscall6(syscall.SYS_PRLIMIT64, uintptr(p.cmd.Process.Pid), syscall.RLIMIT_NOFILE,
+			uintptr(unsafe.Pointer(set)), uintptr(unsafe.Pointer(previous)), 0, 0)
+		assert.Equal(t, errno, syscall.Errno(0))
+	}
+	var limit syscall.Rlimit
+	prlimit(nil, &limit)
+	limit.Cur = uint64(n) // a hard limit could not be raised again
+	prlimit(&limit, nil)
 }
 
 // unfinished is a request that each connection of a crowd begins.
--- a/coltscrowd/gateway_test.go
+++ b/coltscrowd/gateway_test.go
@@ -5,10 +5,12 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"strings"
-	"syscall"
 	"testing"
-	"unsafe"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -103,12 +105,34 @@
 	})
 	t.Run("connections beyond the process's own limit", func(t *testing.T) {
 		i := startInstances(t, limits{}, limits{})
-		limit := syscall.Rlimit{Cur: 200, Max: 200}
-		_, _, errno := syscall.RawSyscall6(syscall.SYS_PRLIMIT64, uintptr(i.gateway.cmd.Process.Pid), syscall.RLIMIT_NOFILE,
-			uintptr(unsafe.Pointer(&limit)), 0, 0, 0)
-		assert.Equal(t, errno, syscall.Errno(0))
+		limitDescriptors(t, i.gateway, 200)
 		openCrowd(t, i.callerAddr, crowd, func() string { return "" }, "", 0)
 		i.assertServed("/book/", "a")
 		assert.Assert(t, metric(t, i.operatorAddr, "connections-shed") > 0)
 	})
+	t.Run("a gateway that can't accept connections says that it is not ready", func(t *testing.T) {
+		i := startInstances(t, limits{}, limits{})
+		// The connection of the readiness check stays open, as that of a load balancer does.
+		client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+		t.Cleanup(client.CloseIdleConnections)
+		assertReady := func(want int) {
+			eventually(t, fmt.Sprint("the readiness check gets ", want), func() bool {
+				// While it can't accept, a connection that waits is tried again and again.
+				nc, err := net.Dial("tcp", i.callerAddr.String())
+				assert.NilError(t, err)
+				defer func() { _ = nc.Close() }()
+				time.Sleep(10 * time.Millisecond)
+				resp, err := client.Get("http://" + i.operatorAddr.String() + "/ready")
+				assert.NilError(t, err)
+				_, err = io.Copy(io.Discard, resp.Body)
+				return err == nil && resp.Body.Close() == nil && resp.StatusCode == want
+			})
+		}
+		assertReady(http.StatusOK)
+		limitDescriptors(t, i.gateway, 5)
+		assertReady(http.StatusServiceUnavailable)
+		limitDescriptors(t, i.gateway, 500)
+		assertReady(http.StatusOK)
+		i.assertServed("/book/", "a")
+	})
 }
--- a/coltsgateway/caller_conn.go
+++ b/coltsgateway/caller_conn.go
@@ -31,6 +31,9 @@
 	// acceptRetryPause is the pause after a failed accept, for example when the process has
 	// run out of file descriptors.
 	acceptRetryPause = 20 * time.Millisecond
+	// acceptRecovery is how long an instance counts as not ready after a failed accept, unless it accepts
+	// another connection meanwhile. There may be none to accept.
+	acceptRecovery = time.Second
 	// closeLinger is how long a connection that is about to be closed may still receive what its
 	// caller has already sent. It exceeds the round trip to callers.
 	closeLinger = 250 * time.Millisecond
@@ -57,10 +60,12 @@
 			g.log.Warn("A connection could not be accepted.", coltslog.Fields{
 				"error": err, "open": g.openConns.count(),
 			})
+			g.acceptFailedAt.Store(g.now().UnixNano())
 			g.shed(coltsbuffer.Need{Connections: max(1, g.openConns.count()/shedBatchShare)})
 			time.Sleep(acceptRetryPause)
 			continue
 		}
+		g.acceptFailedAt.Store(0)
 		conn, ok := nc.(*coltswatch.Conn)
 		if !ok {
 			g.log.Error("A connection has the wrong type.", coltslog.Fields{"type": nc})
--- a/coltsgateway/gateway.go
+++ b/coltsgateway/gateway.go
@@ -96,6 +96,9 @@
 	readyServer      *coltsfront.Server
 	operatorServer   *coltsfront.Server
 	openConns        openConns
+	// acceptFailedAt is when the last connection could not be accepted, in nanoseconds of the Unix time; 0
+	// if one was accepted since.
+	acceptFailedAt atomic.Int64
 
 	ctx        context.Context
 	stop       context.CancelFunc
--- a/coltsgateway/gateway_operator.go
+++ b/coltsgateway/gateway_operator.go
@@ -3,16 +3,24 @@
 // Readiness checks for the load balancer, and health and metrics for operators.
 
 import (
+	"time"
+
 	"github.com/valyala/fasthttp"
 
 	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsmetric"
 )
 
-// isReady reports whether the instance can serve callers: it has a route table and is not
-// shutting down.
+// isReady reports whether the instance can serve callers: it has a route table, accepts connections and is
+// not shutting down.
 func (g *Gateway) isReady() bool {
-	return !g.isDraining() && g.routes.Current() != nil
+	return !g.isDraining() && g.routes.Current() != nil && !g.acceptFailed()
+}
+
+// acceptFailed reports whether the instance has just failed to accept a connection and none since.
+func (g *Gateway) acceptFailed() bool {
+	failedAt := g.acceptFailedAt.Load()
+	return failedAt != 0 && g.now().Before(time.Unix(0, failedAt).Add(acceptRecovery))
 }
 
 // guard returns a handler that answers with an error if handler panics.
--- a/coltspool/pool.go
+++ b/coltspool/pool.go
@@ -260,10 +260,15 @@
 	return closed || err != nil
 }
 
+// dial opens a connection. If the process has no descriptor left, the connection that has been idle longest is
+// closed first, whichever upstream it leads to.
 func (p *Pool) dial(ctx context.Context, addr netip.AddrPort) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	nc, err := p.cfg.Dial(ctx, addr)
+	if isOutOfDescriptors(err) && p.closeLongestIdle() {
+		nc, err = p.cfg.Dial(ctx, addr)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -274,6 +279,11 @@
 	return c, nil
 }
 
+// isOutOfDescriptors reports whether an error says that the process or the machine has no descriptor left.
+func isOutOfDescriptors(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
 func dialTCP(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 	var d net.Dialer
 	return d.DialContext(ctx, "tcp", addr.String())
@@ -343,6 +353,49 @@
 	_ = c.Close()
 }
 
+// closeLongestIdle closes the connection that has been idle longest and reports whether there was one.
+func (p *Pool) closeLongestIdle() bool {
+	var longest *Conn
+	var longestSince time.Time
+	for i := range p.shards {
+		c, since := p.shards[i].longestIdle()
+		if c != nil && (longest == nil || since.Before(longestSince)) {
+			longest, longestSince = c, since
+		}
+	}
+	if longest == nil || !p.shard(longest.Addr).remove(longest) {
+		return false
+	}
+	p.Drop(longest)
+	return true
+}
+
+// longestIdle returns the connection that has been idle longest, nil if there is none, and since when.
+func (s *poolShard) longestIdle() (*Conn, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var longest *Conn
+	var longestSince time.Time
+	for _, idle := range s.idle {
+		if len(idle) > 0 && (longest == nil || idle[0].idleSince.Before(longestSince)) {
+			longest, longestSince = idle[0], idle[0].idleSince
+		}
+	}
+	return longest, longestSince
+}
+
+// remove removes an idle connection and reports whether it was still idle.
+func (s *poolShard) remove(c *Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := slices.Index(s.idle[c.Addr], c)
+	if i < 0 {
+		return false
+	}
+	s.idle[c.Addr] = slices.Delete(s.idle[c.Addr], i, i+1)
+	return true
+}
+
 // CloseIdle closes all idle connections.
 func (p *Pool) CloseIdle() {
 	for i := range p.shards {
--- a/coltspool/pool_test.go
+++ b/coltspool/pool_test.go
@@ -7,7 +7,9 @@
 	"context"
 	"net"
 	"net/netip"
+	"os"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -117,3 +119,25 @@
 		assertIdle(t, p, 12)
 	})
 }
+
+func TestDescriptors(t *testing.T) {
+	t.Run("the connection that is idle longest is closed for a new one if no descriptor is left", func(t *testing.T) {
+		const descriptors = 10
+		p := New(Config{})
+		p.cfg.Dial = func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+			if countIdle(p) >= descriptors {
+				return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}
+			}
+			return dialTCP(ctx, addr)
+		}
+		first, second, other := startUpstream(t), startUpstream(t), startUpstream(t)
+		oldest := openIdle(t, p, first, 1)[0]
+		openIdle(t, p, second, descriptors-1)
+		c, err := p.Get(context.Background(), other.addr, false)
+		assert.NilError(t, err)
+		assert.NilError(t, c.Close())
+		assertIdle(t, p, descriptors-1)
+		_, err = oldest.Write([]byte("x"))
+		assert.Assert(t, err != nil, "the connection is open")
+	})
+}
