Don't wait for permits for evacuated or paused upstreams

Callers whose service had upstreams only in an evacuated data centre waited until their queue deadline and got a refusal for lack of room, if one of these upstreams was cold or had refused a connection. evacuation.md says that they are refused at once, with the data centre in the detail. That is the usual case of an evacuation of a data centre that fails, because refused connections make its upstreams cold for twice ColdDuration. The same happened for an upstream that was cold and had asked for a long pause: the request waited though the pause ended after its queue deadline.

Cause: noCandidateError asks awaitsPermit first, which looked at the permits of all upstreams of the service, those in evacuated data centres and paused ones among them.

awaitsPermit counts an upstream only if the lack of a permit is what excludes it, by the check that the choice and its explanation use.

--- a/coltsbalance/balance_warmup.go
+++ b/coltsbalance/balance_warmup.go
@@ -100,7 +100,8 @@
 	return b.isCold(u, now) && (!now.Before(c.PermitUntil) || !u.record.SameProcess(c.Upstream))
 }
 
-// awaitsPermit reports whether a demand could be sent to a cold upstream if there were a permit.
+// awaitsPermit reports whether a demand could be sent to a cold upstream now if there were a permit. One that is
+// also evacuated or paused is excluded whatever the permits are.
 func (b *Balancer) awaitsPermit(d Demand, now time.Time) bool {
 	if _, limited := b.coldDuration(d.Service); !limited {
 		return false
@@ -109,7 +110,7 @@
 		s := &b.shards[i]
 		s.mu.Lock()
 		for _, u := range s.upstreams {
-			if u.record.Service == d.Service && b.lacksPermit(u, now) && u.unsuitable(d, now) == ExclusionNone {
+			if u.record.Service == d.Service && b.exclusion(u, d, now) == ExclusionNoPermit {
 				s.mu.Unlock()
 				return true
 			}
--- a/coltsbalance/balance_warmup_test.go
+++ b/coltsbalance/balance_warmup_test.go
@@ -219,3 +219,32 @@
 		choose(t, b, Demand{})
 	})
 }
+
+// The failure guarded against: a request waits for a permit for an upstream that it could not go to with one, until its
+// queue deadline, rather than being refused at once.
+func TestAwaitsPermit(t *testing.T) {
+	demand := Demand{Service: "llm", Weight: 1, Capacity: 4}
+	t.Run("no request waits for a permit for an upstream in an evacuated data centre", func(t *testing.T) {
+		b := newColdBalancer(2, 1)
+		b.RecordEnded(coltsregistry.Process{ID: "r1", StartedAt: now}, now)
+		b.SetEvacuations([]coltsidentity.DataCentre{""})
+		assertEvacuated(t, b, 2, "")
+		_, err := b.Choose(demand, now)
+		assert.DeepEqual(t, b.Explain(demand, now).Err, err)
+	})
+	t.Run("no request waits for a permit for an upstream that has asked for a pause", func(t *testing.T) {
+		b := newColdBalancer(1, 1)
+		b.RecordPause("r0", now, now.Add(time.Minute), now)
+		_, err := b.Choose(demand, now)
+		var paused *PausedError
+		assert.Assert(t, errors.As(err, &paused), "got %v", err)
+		assert.Equal(t, paused.Until, now.Add(time.Minute))
+	})
+	t.Run("a request waits for a permit for an upstream elsewhere", func(t *testing.T) {
+		b, elsewhere := newColdBalancer(2, 1), coldEntry(1, now)
+		elsewhere.Upstream.DataCentre = "z2"
+		b.Update(elsewhere)
+		b.SetEvacuations([]coltsidentity.DataCentre{""})
+		assertAwaitsPermit(t, b, Demand{})
+	})
+}
