Keep upstreams cold that report before the route table is known

After all control instances had restarted, cold upstreams could get the requests of warm ones: an upstream whose deadline was restored from the file of the registry, and one that had started together with control, for example after a loss of power.

Cause: a leader accepts reports as soon as it is elected, and the reports that wait for a leader arrive right then. Until then no service limits cold processes, so Registry.coldUntil answered the zero time. That replaced a restored deadline, was published, and stayed: later reports of the same process keep the known deadline. The same happened to processes that started shortly before the first route table with a cold rate.

Reports of the same process keep the known deadline as long as no route table is known. Once a table limits the service, a process without a deadline is cold from its start, as a new one is, from its next report on. A mirror has no deadline for warm upstreams, so after a change of the leader a process whose clock is ahead can be cold once more, until ColdDuration after its start by that clock.

Not covered: a gateway can send to a process without a restored deadline until its next report, about a second.

--- a/coltsregistry/registry_warmup.go
+++ b/coltsregistry/registry_warmup.go
@@ -61,12 +61,20 @@
 // nil if there is none.
 func (r *Registry) coldUntil(u Upstream, known *Upstream, now time.Time) time.Time {
 	d, limited := r.warmup.duration(u.Service)
+	isSame := known != nil && u.SameProcess(*known)
 	switch {
+	case !limited && isSame && r.warmup.durations.Load() == nil:
+		// After a restart of control, reports come before the route table is known.
+		return known.ColdUntil
 	case !limited:
 		return time.Time{}
 	case !u.ColdUntil.IsZero():
 		return u.ColdUntil
-	case known != nil && u.SameProcess(*known):
+	case isSame && known.ColdUntil.IsZero() && !u.StartedAt.IsZero() && !u.StartedAt.After(now):
+		// The earlier reports came before the route table that limits the service, or are those of a mirror,
+		// which does not learn the deadlines of warm upstreams.
+		return u.StartedAt.Add(d)
+	case isSame:
 		return known.ColdUntil
 	case known != nil || u.StartedAt.IsZero():
 		// The process has started since the last report of its ID, or does not say when: the clocks of
--- a/coltsregistry/registry_warmup_test.go
+++ b/coltsregistry/registry_warmup_test.go
@@ -108,3 +108,38 @@
 		assertColdFor(t, r, 0)
 	})
 }
+
+// The failure guarded against: after a restart of control, upstreams report before the new leader has applied the route
+// table, and cold ones count as warm from then on.
+func TestReportsBeforeRoutes(t *testing.T) {
+	applyRoutes := func(r *Registry) {
+		r.SetColdDurations(map[coltsidentity.Service]time.Duration{"llm": 3 * time.Second})
+	}
+	t.Run("a deadline that was restored is kept", func(t *testing.T) {
+		r := newRegistry()
+		assert.Assert(t, r.Mirror(Entry{Upstream: coldReport(-60, 1, 2*time.Second)}, start))
+		assertAccepted(t, r, report("a", -60, 2, StateReady), false)
+		applyRoutes(r)
+		assertAccepted(t, r, report("a", -60, 3, StateReady), false)
+		assertColdFor(t, r, 2*time.Second)
+	})
+	t.Run("a process that has just started is cold from its next report on", func(t *testing.T) {
+		r := newRegistry()
+		assertAccepted(t, r, report("a", -1, 1, StateReady), true)
+		applyRoutes(r)
+		assertAccepted(t, r, report("a", -1, 2, StateReady), true)
+		assertColdFor(t, r, 2*time.Second)
+		assertAccepted(t, r, report("a", -1, 3, StateReady), false)
+	})
+	t.Run("a process that started long ago or does not say when stays warm", func(t *testing.T) {
+		r, unknownStart := newRegistry(), report("b", 0, 1, StateReady)
+		unknownStart.StartedAt, unknownStart.Addr = time.Time{}, quietUpstream(0, 1).Addr
+		assertAccepted(t, r, report("a", -60, 1, StateReady), true)
+		assertAccepted(t, r, unknownStart, true)
+		applyRoutes(r)
+		unknownStart.Sequence = 2
+		assertAccepted(t, r, report("a", -60, 2, StateReady), false)
+		assertAccepted(t, r, unknownStart, false)
+		assertColdFor(t, r, 0)
+	})
+}
