Count the end of an evacuation once at gateways

Each order of evacuation let gateways count the earlier ends of all other data centres again. Within ColdDuration of an end, upstreams that control had reported as warm since became cold again and got nothing from these gateways, because the leader deals no permits for them. After any end, however old, upstreams whose process had ended lost their mark and could get full traffic at their return. Callers saw refusals for lack of room in the first case, and crashes in the second.

Cause: a gateway derives the times of changes from the ages in a reply. Each reply is under way for another time, and control instances may have seen a change at different times. ChangesBetween takes a later time of an end for another end.

A time that differs from the known one of the same change by less than 10 s, the greatest expected difference of clocks, is replaced by it (State.KeepTimes). A second end less than 10 s after the first whose start the gateway has not heard of is not counted; its upstreams are cold by the deadlines of the registry.

--- a/coltsevacuation/evacuation_test.go
+++ b/coltsevacuation/evacuation_test.go
@@ -164,3 +164,28 @@
 		assert.Equal(t, new(LocalTimes).Translate(r.Current(), at(500)).Evacuations[0].ChangedAt, at(1))
 	})
 }
+
+// TestKeepTimes guards against an end that counts again because a later reply gives a slightly later time for it.
+func TestKeepTimes(t *testing.T) {
+	endedAt := func(seconds int) State {
+		return State{Evacuations: []Evacuation{{DataCentre: "z1", Ended: true, ChangedAt: at(seconds)}}}
+	}
+	assertEnds := func(t *testing.T, seconds, ends int) {
+		t.Helper()
+		known := endedAt(0)
+		assert.Equal(t, len(ChangesBetween(known, endedAt(seconds).KeepTimes(known), at(100)).Ended), ends)
+	}
+	t.Run("a time that differs as much as clocks do is that of the known end", func(t *testing.T) { assertEnds(t, 9, 0) })
+	t.Run("a later time is that of another end", func(t *testing.T) { assertEnds(t, 10, 1) })
+	t.Run("small differences don't add up", func(t *testing.T) {
+		known := endedAt(0)
+		for i := range 5 {
+			known = endedAt(2 * i).KeepTimes(known)
+		}
+		assert.Equal(t, known.Evacuations[0].ChangedAt, at(0))
+	})
+	t.Run("an evacuation that begins again has its own time", func(t *testing.T) {
+		begun := State{Evacuations: []Evacuation{{DataCentre: "z1", ChangedAt: at(1)}}}
+		assert.Equal(t, begun.KeepTimes(endedAt(0)).Evacuations[0].ChangedAt, at(1))
+	})
+}
--- a/coltsevacuation/evacuation_times.go
+++ b/coltsevacuation/evacuation_times.go
@@ -33,3 +33,17 @@
 	l.recorded, l.local = recorded, local
 	return local
 }
+
+// KeepTimes returns s with the times of known for the changes that known has already. The times that a reader
+// derives from ages differ each time by the delays of replies, and by the clocks and restarts of their senders.
+func (s State) KeepTimes(known State) State {
+	kept := State{Revision: s.Revision}
+	for _, e := range s.Evacuations {
+		previous, found := known.find(e.DataCentre)
+		if found && previous.Ended == e.Ended && e.ChangedAt.Sub(previous.ChangedAt).Abs() < maxClockDifference {
+			e.ChangedAt = previous.ChangedAt
+		}
+		kept.Evacuations = append(kept.Evacuations, e)
+	}
+	return kept
+}
--- a/coltsgateway/control_evacuation.go
+++ b/coltsgateway/control_evacuation.go
@@ -16,7 +16,7 @@
 
 // applyEvacuations applies the evacuations in a reply if they are newer than the known ones.
 func (w *controlWatcher) applyEvacuations(reply *coltspb.WatchReply, now time.Time) {
-	state := coltswire.DecodeEvacuationsWithAges(reply.GetEvacuations(), now)
+	state := coltswire.DecodeEvacuationsWithAges(reply.GetEvacuations(), now).KeepTimes(w.evacuations)
 	if state.Revision <= w.evacuations.Revision {
 		return
 	}
