Let the mark of a data centre not shorten that of an ended process

A gateway that heard late of the end of an evacuation, for example because it had been cut off from control, sent full traffic to upstreams of that data centre that had refused it connections shortly before and returned under the same ID.

Cause: Balancer.MarkCold set the end of the cold time to ColdDuration after the end of the evacuation, also if that was earlier than what RecordEnded had set.

MarkCold only extends in the balancer as well.

go test -race ./coltsbalance -run 'Cold|Ended|Uninformed|Permit' passes; TestMarkColdIsNoShorter fails without the change, the request is sent.

--- a/coltsbalance/balance_warmup.go
+++ b/coltsbalance/balance_warmup.go
@@ -152,8 +152,9 @@
 		s := &b.shards[i]
 		s.mu.Lock()
 		for _, u := range s.upstreams {
-			if d, limited := b.coldDuration(u.record.Service); limited && u.record.DataCentre == dataCentre {
-				u.warmup.markedUntil = since.Add(d)
+			d, limited := b.coldDuration(u.record.Service)
+			if until := since.Add(d); limited && u.record.DataCentre == dataCentre && until.After(u.warmup.markedUntil) {
+				u.warmup.markedUntil = until
 			}
 		}
 		s.mu.Unlock()
--- a/coltsbalance/balance_warmup_test.go
+++ b/coltsbalance/balance_warmup_test.go
@@ -248,3 +248,16 @@
 		assertAwaitsPermit(t, b, Demand{})
 	})
 }
+
+// The failure guarded against: an upstream whose process has ended is filled when it returns, because a mark of its data
+// centre that ends earlier has replaced that of the process.
+func TestMarkColdIsNoShorter(t *testing.T) {
+	b := newColdBalancer(1, 0)
+	b.RecordEnded(coltsregistry.Process{ID: "r0", StartedAt: now}, now)
+	b.MarkCold("", now.Add(-time.Minute))
+	assertAwaitsPermit(t, b, Demand{})
+	t.Run("a later mark extends it", func(t *testing.T) {
+		b.MarkCold("", now.Add(4*time.Second))
+		assert.Equal(t, b.ColdUpstreams(now.Add(6500*time.Millisecond)), 1)
+	})
+}
