Forget gateways that no longer ask the dealer of cold permits

The memory of a leader grew by each gateway that had polled it, as long as no upstream was cold. That is bounded only if gateways return under the same names.

Cause: turns.ask records each gateway and removes those that no longer ask only if there are cold processes.

go test -race ./coltswarmup -run 'TestSweep|TestDealer|TestBound|TestPermits' passes; TestSweep fails without the change with 1000 gateways instead of 1.

--- a/coltswarmup/warmup_dealer.go
+++ b/coltswarmup/warmup_dealer.go
@@ -112,8 +112,9 @@
 	return true
 }
 
-// Sweep forgets the upstreams for which a permit is due anyway.
+// Sweep forgets the upstreams for which a permit is due anyway and the gateways that no longer ask.
 func (d *Dealer) Sweep(now time.Time) {
+	d.turns.sweep(now)
 	for i := range d.shards {
 		s := &d.shards[i]
 		s.mu.Lock()
@@ -168,6 +169,17 @@
 	return (n + len(t.gateways) - 1) / len(t.gateways)
 }
 
+// sweep forgets the gateways that no longer ask. ask does so only while an upstream is cold.
+func (t *turns) sweep(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, g := range t.gateways {
+		if now.After(g.liveUntil) {
+			delete(t.gateways, id)
+		}
+	}
+}
+
 func (t *turns) drew(gateway coltsidentity.Instance) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/coltswarmup/warmup_test.go
+++ b/coltswarmup/warmup_test.go
@@ -216,3 +216,23 @@
 		assert.Assert(t, p.Take(start).IsZero())
 	})
 }
+
+// The failure guarded against: the dealer of a leader that leads for months remembers all gateways that have ever asked
+// while no upstream was cold.
+func TestSweep(t *testing.T) {
+	t.Run("gateways that no longer ask are forgotten", func(t *testing.T) {
+		d := NewDealer()
+		for g := range 1000 {
+			d.Deal(gatewayID(g), nil, always, at(time.Duration(g)*time.Second))
+		}
+		d.Sweep(at(999 * time.Second))
+		assert.Equal(t, len(d.turns.gateways), 1)
+	})
+	t.Run("those that ask keep their turns", func(t *testing.T) {
+		d, cold := NewDealer(), coldProcesses(1, 100)
+		d.Deal("other", nil, always, start)
+		assert.Equal(t, len(d.Deal("g", cold, always, start)), 1)
+		d.Sweep(at(liveFor))
+		assert.Equal(t, len(d.Deal("g", cold, always, at(liveFor))), 0)
+	})
+}
