Explain choices by the limits and draws of the policy in use

`coltsfootstall explain` said that a request waits for room though a gateway with the round-robin policy sends it, and always that three upstreams are drawn at random.

Cause: Choose dropped the limit for round-robin, Explain did not, and Explain gave the size of the least-loaded policy's sample in all cases. While the leader is not heard and by averaged loads one upstream is drawn, by round-robin none.

Both ask Balancer.limits whether the limit counts, and Explain counts what pick draws.

go test -race ./coltsbalance passes; TestExplainPolicies fails without the change with "no room" and with 3 instead of 1 in both cases of one candidate.

--- a/coltsbalance/balance_explain.go
+++ b/coltsbalance/balance_explain.go
@@ -175,7 +175,18 @@
 			cmp.Compare(x.Upstream, y.Upstream),
 		)
 	})
-	return Explanation{Upstreams: explained, Compared: maxSample, Err: b.explainedError(d, explained, now)}
+	return Explanation{Upstreams: explained, Compared: b.drawn(d, now), Err: b.explainedError(d, explained, now)}
+}
+
+// drawn returns how many candidates pick draws at random for a demand.
+func (b *Balancer) drawn(d Demand, now time.Time) int {
+	switch {
+	case b.cfg.Policy == PolicyRoundRobin:
+		return 0
+	case b.averages(d) || !b.isInformed(d.Service, now):
+		return 1
+	}
+	return maxSample
 }
 
 // explainedError returns the error of a choice among upstreams that are sorted as in an Explanation.
@@ -189,7 +200,7 @@
 		}
 		return b.noCandidateError(d, len(explained), pausedUntil, now)
 	}
-	if load := explained[0].Utilisation; d.Limit > 0 && load > d.Limit {
+	if load := explained[0].Utilisation; b.limits(d) && load > d.Limit {
 		return &FullError{Service: d.Service, Load: load}
 	}
 	return nil
--- a/coltsbalance/balance_explain_test.go
+++ b/coltsbalance/balance_explain_test.go
@@ -82,3 +82,34 @@
 		assert.DeepEqual(t, b.Explain(d, now), untouched.Explain(d, now))
 	})
 }
+
+// Guards against an explanation that counts other candidates or limits than the choice does.
+func TestExplainPolicies(t *testing.T) {
+	newBalancer := func(cfg Config) *Balancer {
+		cfg.Random = func(int) int { return 0 }
+		b := New(cfg)
+		for _, id := range []string{"a", "b", "c", "d"} {
+			b.Update(entry(id, coltsregistry.StateReady, 1))
+		}
+		return b
+	}
+	d := Demand{Service: "llm", Weight: 1, Capacity: 1}
+	t.Run("round-robin ignores load limits", func(t *testing.T) {
+		b, long := newBalancer(Config{Policy: PolicyRoundRobin}), d
+		b.SetPeerLoads([]Load{{Upstream: "a", Amount: 9}, {Upstream: "b", Amount: 9}, {Upstream: "c", Amount: 9}, {Upstream: "d", Amount: 9}}, now)
+		long.Limit = 1
+		_, err := b.Choose(long, now)
+		assert.NilError(t, err)
+		assert.NilError(t, b.Explain(long, now).Err)
+	})
+	t.Run("while the leader is not heard, one candidate is drawn", func(t *testing.T) {
+		b := newBalancer(Config{})
+		b.SetColdDurations(map[coltsidentity.Service]time.Duration{"llm": time.Second})
+		b.SetPeerLoads(nil, now)
+		assert.Equal(t, b.Explain(d, now).Compared, maxSample)
+		assert.Equal(t, b.Explain(d, now.Add(informedFor)).Compared, 1)
+	})
+	t.Run("by averaged loads, one candidate is drawn", func(t *testing.T) {
+		assert.Equal(t, newBalancer(Config{LoadEstimate: EstimateAveraged}).Explain(d, now).Compared, 1)
+	})
+}
--- a/coltsbalance/balancer.go
+++ b/coltsbalance/balancer.go
@@ -148,12 +148,9 @@
 // or a permit.
 func (b *Balancer) Choose(d Demand, now time.Time) (Choice, error) {
 	candidates, known, pausedUntil := b.candidates(d, now)
-	if b.cfg.Policy == PolicyRoundRobin {
-		d.Limit = 0
-	}
 	for len(candidates) > 0 {
 		i, home := b.pick(d, candidates, now)
-		if load := utilisation(d, candidates, i); d.Limit > 0 && load > d.Limit {
+		if load := utilisation(d, candidates, i); b.limits(d) && load > d.Limit {
 			return Choice{}, &FullError{Service: d.Service, Load: load}
 		}
 		choice, ok := b.reserve(candidates[i].id, d, now)
@@ -166,6 +163,9 @@
 	return Choice{}, b.noCandidateError(d, known, pausedUntil, now)
 }
 
+// limits reports whether a demand's limit counts.
+func (b *Balancer) limits(d Demand) bool { return d.Limit > 0 && b.cfg.Policy != PolicyRoundRobin }
+
 // noCandidateError returns why there is no candidate for a demand. known is the number of the service's
 // upstreams, and pausedUntil when the first pause of one that could be chosen otherwise ends.
 func (b *Balancer) noCandidateError(d Demand, known int, pausedUntil, now time.Time) error {
