Treat an upstream that refuses the probe after a crash as ended

A gateway whose requests were cut off by a crash could send the process full traffic when it returned under the same ID while the leader was frozen, though the gateway had found that nothing listened at the address.

Cause: only the refused connection of a request marked an upstream as ended. A crash that ends several requests makes the gateway avoid the upstream for up to 5 s, so no request connects to it until it has returned. The probe after a lost connection (recordCrash) is refused in that time, but counted only against the request.

A refused probe marks the upstream as ended too. Pool.CanConnect, which has no other caller, becomes Pool.Probe and returns the error.

go test -race ./coltsgateway ./coltspool passes; TestProbeAfterCrash fails without the change with 0 cold upstreams instead of 1.

--- a/coltsgateway/forward_suspect.go
+++ b/coltsgateway/forward_suspect.go
@@ -8,8 +8,11 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltsbalance"
 	"coltsfootstall/coltsidentity"
@@ -62,9 +65,13 @@
 	probeCtx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
 	defer cancel()
 	upstream, crashedAt := f.choice.Upstream, f.g.now()
-	if f.g.pool.CanConnect(probeCtx, upstream.Addr) || ctx.Err() != nil {
+	err := f.g.pool.Probe(probeCtx, upstream.Addr)
+	if err == nil || ctx.Err() != nil {
 		return
 	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		f.g.recordEnded(f.choice)
+	}
 	// One upstream ID may stand for several processes in succession, each of which can crash
 	// once.
 	process := coltsidentity.Upstream(fmt.Sprintf("%s@%d", upstream.ID, upstream.StartedAt.UnixMilli()))
--- a/coltspool/pool.go
+++ b/coltspool/pool.go
@@ -228,15 +228,15 @@
 	return true
 }
 
-// CanConnect reports whether an upstream accepts a new connection, which is then kept in the
-// pool.
-func (p *Pool) CanConnect(ctx context.Context, addr netip.AddrPort) bool {
+// Probe returns an error if an upstream accepts no new connection. Otherwise the connection is kept in
+// the pool.
+func (p *Pool) Probe(ctx context.Context, addr netip.AddrPort) error {
 	c, err := p.dial(ctx, addr)
 	if err != nil {
-		return false
+		return err
 	}
 	p.Put(c)
-	return true
+	return nil
 }
 
 // peerClosed reports, without blocking, whether the other end has closed the connection or sent
