Forget upstreams that left long ago at gateways

As long as the leader stayed, a gateway remembered each upstream that had ever left, and compared all of them for each request. Where processes return under another ID after a crash, its memory and the cost of a choice grew with the number of crashes.

Cause: the registry drops an upstream two minutes after it has left without telling gateways, and applyRegistryEntries keeps all that the registry has ever listed.

A gateway forgets an upstream two minutes after it has heard that it left. Until then, a control instance that is behind can't add it again. Upstreams that became silent and never left are still kept, because a silent upstream may still answer.

--- a/coltsgateway/control_reply.go
+++ b/coltsgateway/control_reply.go
@@ -4,6 +4,7 @@
 // stores, the loads, and which control instance is asked next.
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -11,6 +12,7 @@
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsmetric"
+	"coltsfootstall/coltsregistry"
 	"coltsfootstall/coltsstore"
 	"coltsfootstall/coltswire"
 	"coltsfootstall/coltswire/coltspb"
@@ -161,7 +163,10 @@
 // time to report to it.
 func (w *controlWatcher) applyRegistryEntries(reply *coltspb.WatchReply, now time.Time) {
 	for _, e := range coltswire.DecodeRegistryEntries(reply.GetEntries(), now) {
-		w.listed[e.Upstream.ID] = true
+		w.listed[e.Upstream.ID] = time.Time{}
+		if e.Upstream.State == coltsregistry.StateGone {
+			w.listed[e.Upstream.ID] = now.Add(forgetGoneAfter)
+		}
 		w.g.balancer.Update(e)
 		w.g.log.Info("An upstream changed.", coltslog.Fields{
 			"upstream": e.Upstream.ID, "service": e.Upstream.Service, "address": e.Upstream.Addr,
@@ -170,7 +175,13 @@
 		})
 	}
 	if len(reply.GetEntries()) > 0 && now.Sub(w.sourceSince) > forgetGrace {
-		w.g.balancer.Forget(func(id coltsidentity.Upstream) bool { return w.listed[id] })
+		maps.DeleteFunc(w.listed, func(_ coltsidentity.Upstream, keptUntil time.Time) bool {
+			return !keptUntil.IsZero() && now.After(keptUntil)
+		})
+		w.g.balancer.Forget(func(id coltsidentity.Upstream) bool {
+			_, listed := w.listed[id]
+			return listed
+		})
 	}
 	w.g.metrics.Put(coltsmetric.Upstreams, int64(len(w.listed)))
 }
--- a/coltsgateway/control_watch.go
+++ b/coltsgateway/control_watch.go
@@ -49,6 +49,9 @@
 	// forgetGrace is how long a registry must have been followed before upstreams missing from
 	// it are forgotten. It spans several of the upstreams' reports.
 	forgetGrace = 10 * time.Second
+	// forgetGoneAfter is how long an upstream that has left is kept, so that a control instance that is
+	// behind does not add it again. The registry keeps it as long, and says nothing when it drops it.
+	forgetGoneAfter = 2 * time.Minute
 )
 
 // controlWatcher follows control. Only its own loop writes to it.
@@ -60,7 +63,8 @@
 	controls []netip.AddrPort
 	next     int
 	// source identifies the registry that the revisions refer to, sourceSince is when
-	// the watcher began to follow it, and listed are the upstreams that it has listed.
+	// the watcher began to follow it, and listed are the upstreams that it has listed, with the time until
+	// which those that have left are kept; zero for the others.
 	source          string
 	sourceSince     time.Time
 	weightsRevision uint64
@@ -68,7 +72,7 @@
 	evacuations      coltsevacuation.State
 	registryRevision uint64
 	storePosition    coltsstore.Position
-	listed           map[coltsidentity.Upstream]bool
+	listed           map[coltsidentity.Upstream]time.Time
 	// receivingStores is set while the whole store directory is received in several replies.
 	receivingStores bool
 	connected       bool
@@ -88,7 +92,7 @@
 	return &controlWatcher{
 		g:       g,
 		clients: map[netip.AddrPort]coltspbconnect.ControlClient{},
-		listed:  map[coltsidentity.Upstream]bool{},
+		listed:  map[coltsidentity.Upstream]time.Time{},
 
 		avoidUntil:      map[netip.AddrPort]time.Time{},
 		reportedCrashes: map[coltsidentity.Digest]int{},
