Commit departures of upstreams before they are acknowledged

Cause: the leader acknowledged from memory, and the registry is saved every 250 ms.

A departure goes through the replicated log first. Instances mark the process when they apply it, also after a start with an older registry or with none. Ruled out: saving the registry at once, since another member may lead after the restart.

--- a/coltscontrol/driver_output.go
+++ b/coltscontrol/driver_output.go
@@ -142,6 +142,7 @@
 		d.c.routes.Store(&encoded)
 		d.c.log.Info("A route table is in force.", coltslog.Fields{"version": encoded.Version, "before": published})
 	}
+	d.publishDepartures()
 	evacuationsChanged := d.c.publishEvacuations(d.c.cfg.Now())
 	if _, revision := d.c.machine.Weights.Newest(); evacuationsChanged || encoded.Version != published || revision != d.publishedWeights {
 		d.publishedWeights = revision
--- a/coltscontrol/registry_file.go
+++ b/coltscontrol/registry_file.go
@@ -65,6 +65,8 @@
 	for _, e := range coltswire.DecodeRegistryEntries(entries, savedAt) {
 		c.registry.Mirror(e, now)
 	}
+	// The state may have been applied before, to a registry without these entries.
+	c.applyDepartures()
 	if len(entries) > 0 {
 		c.log.Info("The registry of upstreams was restored.", coltslog.Fields{"upstreams": len(entries)})
 	}
--- a/coltscontrol/registry_loop.go
+++ b/coltscontrol/registry_loop.go
@@ -10,6 +10,7 @@
 
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslog"
+	"coltsfootstall/coltsregistry"
 	"coltsfootstall/coltsstore"
 	"coltsfootstall/coltswire"
 	"coltsfootstall/coltswire/coltspb"
@@ -147,6 +148,7 @@
 	if r.GetLeaving() {
 		changed = s.c.registry.Leave(u.ID, u.StartedAt, now)
 	} else {
+		u.State = max(u.State, s.c.machine.Departures.StateOf(coltsregistry.Process{ID: u.ID, StartedAt: u.StartedAt}))
 		changed, err = s.c.registry.Report(u, now)
 	}
 	if err != nil {
@@ -161,6 +163,11 @@
 		})
 		s.c.watchChanged.Broadcast()
 	}
+	if err == nil {
+		if err := s.commitDeparture(ctx, u.ID); err != nil {
+			return nil, err
+		}
+	}
 	return &coltspb.ReportReply{Leader: string(s.c.replicaID)}, nil
 }
 
--- a/coltscontrol/replica_driver.go
+++ b/coltscontrol/replica_driver.go
@@ -68,10 +68,11 @@
 	snapshotBytes      int
 	savingSnapshot     bool
 	hardState          coltsreplica.HardState
-	// publishedRevision and publishedWeights are the revisions of the document and of the named
-	// weights that were last published.
-	publishedRevision coltsdocument.Revision
-	publishedWeights  uint64
+	// publishedRevision, publishedWeights and publishedDepartures are the revisions of the document, of the
+	// named weights and of the departures that were last published.
+	publishedRevision   coltsdocument.Revision
+	publishedWeights    uint64
+	publishedDepartures uint64
 	// diskFailed is closed when the disk has failed; any goroutine may wait for it.
 	diskFailed chan struct{}
 }
--- a/coltsregistry/registry.go
+++ b/coltsregistry/registry.go
@@ -176,6 +176,23 @@
 	return r.advanceState(id, StateGone, now)
 }
 
+// ProcessOf returns the newest process of an upstream and its state, zero values if it is unknown.
+func (r *Registry) ProcessOf(id coltsidentity.Upstream) (Process, State) {
+	s := &r.shards[coltsshard.Of(id)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := s.entries[id].entry.Upstream
+	return Process{ID: id, StartedAt: u.StartedAt}, u.State
+}
+
+// Depart records that a process has reached a state, and reports whether this changed its entry.
+func (r *Registry) Depart(p Process, state State, now time.Time) bool {
+	if known, _ := r.ProcessOf(p.ID); !known.StartedAt.Equal(p.StartedAt) {
+		return false
+	}
+	return r.advanceState(p.ID, state, now)
+}
+
 // RecordLeaving records that a process has told its callers that it is leaving, and reports whether this
 // changed its entry.
 func (r *Registry) RecordLeaving(p Process) bool {
--- a/coltsstate/state_command.go
+++ b/coltsstate/state_command.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"coltsfootstall/coltsbooking"
+	"coltsfootstall/coltsdeparture"
 	"coltsfootstall/coltsdocument"
 	"coltsfootstall/coltsevacuation"
 	"coltsfootstall/coltsidentity"
@@ -35,6 +36,7 @@
 	CommandRoutes
 	CommandWeights
 	CommandEvacuation
+	CommandDeparture
 )
 
 // Command changes the state. Only the field that belongs to Kind is set.
@@ -53,6 +55,8 @@
 	Weights  coltsweights.NamedVersion
 	// Evacuation begins or ends the evacuation of a data centre.
 	Evacuation coltsevacuation.Order
+	// Departure is a process of an upstream that is draining or has left.
+	Departure coltsdeparture.Departure
 }
 
 // ChangeApproval is an operator's review or acceptance of a change.
--- a/coltsstate/state_machine.go
+++ b/coltsstate/state_machine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"coltsfootstall/coltsbooking"
+	"coltsfootstall/coltsdeparture"
 	"coltsfootstall/coltsdocument"
 	"coltsfootstall/coltsevacuation"
 	"coltsfootstall/coltsroute"
@@ -26,6 +27,8 @@
 	Weights *coltsweights.Register
 	// Evacuations holds the data centres that operators have evacuated.
 	Evacuations *coltsevacuation.Register
+	// Departures holds the processes of upstreams that are draining or have left.
+	Departures *coltsdeparture.Register
 	// routes is the newest routing table, as text. The machine does not parse it.
 	routes coltsroute.EncodedTable
 	// appliedAt is the time of the newest command. A command with an earlier time, from
@@ -41,6 +44,7 @@
 		Account:     coltsusage.NewAccount(),
 		Weights:     coltsweights.NewRegister(),
 		Evacuations: coltsevacuation.NewRegister(),
+		Departures:  coltsdeparture.NewRegister(),
 	}
 }
 
@@ -82,6 +86,9 @@
 		return Result{}
 	case CommandEvacuation:
 		return Result{Err: m.Evacuations.Apply(c.Evacuation, now)}
+	case CommandDeparture:
+		m.Departures.Apply(c.Departure, now)
+		return Result{}
 	}
 	return Result{}
 }
@@ -122,6 +129,8 @@
 	Weights   []coltsweights.NamedVersion
 	// Evacuations is the state of the evacuated data centres.
 	Evacuations coltsevacuation.State
+	// Departures are the processes of upstreams that are draining or have left.
+	Departures coltsdeparture.State
 }
 
 // Export returns the whole state. It must not run concurrently with Apply.
@@ -133,6 +142,7 @@
 	s.Routes = m.routes
 	s.Weights, _ = m.Weights.Newest()
 	s.Evacuations = m.Evacuations.Current()
+	s.Departures = m.Departures.Current()
 	return s
 }
 
@@ -145,4 +155,5 @@
 	m.routes = s.Routes
 	m.Weights.Import(s.Weights)
 	m.Evacuations.Import(s.Evacuations)
+	m.Departures.Import(s.Departures)
 }
--- a/coltswire/wire_command.go
+++ b/coltswire/wire_command.go
@@ -36,6 +36,8 @@
 		m.Body = &coltspb.Command_Weights{Weights: EncodeNamedVersion(c.Weights)}
 	case coltsstate.CommandEvacuation:
 		m.Body = &coltspb.Command_Evacuation{Evacuation: encodeEvacuationOrder(c.Evacuation)}
+	case coltsstate.CommandDeparture:
+		m.Body = &coltspb.Command_Departure{Departure: encodeDeparture(c.Departure)}
 	}
 	return m
 }
@@ -76,6 +78,9 @@
 	case *coltspb.Command_Evacuation:
 		c.Kind = coltsstate.CommandEvacuation
 		c.Evacuation = decodeEvacuationOrder(body.Evacuation)
+	case *coltspb.Command_Departure:
+		c.Kind = coltsstate.CommandDeparture
+		c.Departure = decodeDeparture(body.Departure)
 	default:
 		return c, errors.Errorf("command of unknown kind %T", body)
 	}
