Free the slot of a request whose caller leaves while its upstream is chosen

A caller that sent a whole request and closed its connection at once left a slot of its upstream taken for as long as the gateway ran. Enough of them, and every later request of the service waited for capacity and was refused.

Balancer.Choose adds the request to the load of the chosen upstream, and only attempt removed it. runAttempts returned between the two when the caller had left meanwhile. It now ends the choice as neutral and wakes the queue.

TestCallerLeaves fails without the change (1 load instead of 0) and passes with it: go test -race -count=1 ./coltsgateway

--- a/coltsgateway/forward_request.go
+++ b/coltsgateway/forward_request.go
@@ -113,6 +113,11 @@
 	for {
 		choice, err := f.choose(ctx)
 		if f.callerLeft(ctx) {
+			if err == nil {
+				// The choice counts at its upstream already.
+				f.g.balancer.Done(choice, coltsbalance.OutcomeNeutral, f.g.now())
+				f.g.capacityFreed.Broadcast()
+			}
 			return false
 		}
 		if err != nil {
