Count the lines of heads behind requests with unusual framing

A client could send heads with more than 256 lines to control, the entry and the operators' addresses. After a request with Transfer-Encoding: identity, or with a Content-Length on a continued line, the lines of the next head were taken for those of a body and not counted, and fasthttp kept about 100 bytes for each of them.

fasthttp treats identity as no transfer encoding and joins continued lines; the framing that counts lines took any Transfer-Encoding for chunked and a continued length for 0. identity now counts as none, and a framing header whose value is missing on its line or longer than what is kept of a line is refused.

--- a/coltsaccept/accept_conn.go
+++ b/coltsaccept/accept_conn.go
@@ -42,7 +42,7 @@
 
 var (
 	errTooManyLines = errors.New("a head or trailer has too many lines")
-	errLongLength   = errors.New("a length has too many characters")
+	errLongLength   = errors.New("a length or transfer encoding has too many characters or lines")
 )
 
 // section is the section of a request that arrives next.
@@ -64,8 +64,8 @@
 	// line is the beginning of the current line, lineBytes its length so far.
 	line      [lineStartBytes]byte
 	lineBytes int
-	// chunked is set once the head has a Transfer-Encoding, length is its Content-Length. In a chunked
-	// body, length is that of the current chunk.
+	// chunked is set once the head has a Transfer-Encoding other than identity, which fasthttp treats as
+	// none. length is its Content-Length. In a chunked body, length is that of the current chunk.
 	chunked bool
 	length  int64
 }
@@ -140,12 +140,17 @@
 		return nil
 	}
 	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimSpace(value)
+	// fasthttp joins a value that continues on the next line, so it can be missing here.
+	isPartial := len(value) == 0 || f.lineBytes > lineStartBytes
 	switch name = bytes.TrimRight(name, " \t"); {
 	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
-		f.chunked = true
+		if isPartial {
+			return errLongLength
+		}
+		f.chunked = f.chunked || !bytes.EqualFold(value, []byte("identity"))
 	case bytes.EqualFold(name, []byte("Content-Length")):
-		value = bytes.TrimSpace(value)
-		if len(value) > maxLengthDigits || f.lineBytes > lineStartBytes {
+		if len(value) > maxLengthDigits || isPartial {
 			return errLongLength
 		}
 		if n, err := strconv.ParseUint(string(value), 10, 63); err == nil {
