Bound the lines of heads and trailers at a gateway

A crowd within the bound of connections exceeded the memory of the machine.

fasthttp keeps about 80 bytes for each line of a head or trailer, also while the rest is missing, and only the front ends that fasthttp serves bounded the lines. A gateway now reads callers through coltsaccept.Conn, too, and answers 400 to a head or trailer of more than 256 lines, also if they arrive with the first read.

A head of 250 lines takes 26 KB of live memory, more than the 16 KB counted for a connection.

--- a/coltsgateway/caller_conn.go
+++ b/coltsgateway/caller_conn.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"coltsfootstall/coltsaccept"
 	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltsbuffer"
 	"coltsfootstall/coltslog"
@@ -85,7 +86,10 @@
 type callerConn struct {
 	g  *Gateway
 	nc *coltswatch.Conn
-	br *bufio.Reader
+	// lines is the same connection. It bounds the lines of heads and trailers, for each of which the
+	// parsed head takes about 80 bytes, however short it is.
+	lines *coltsaccept.Conn
+	br    *bufio.Reader
 	// base is what the connection takes of the memory for buffers as long as it is open, share what the
 	// current request takes besides.
 	base  *coltsbuffer.Share
@@ -94,7 +98,9 @@
 }
 
 func newCallerConn(g *Gateway, nc *coltswatch.Conn) *callerConn {
-	c := &callerConn{g: g, nc: nc, base: g.buffers.NewShare(), share: g.buffers.NewShare()}
+	c := &callerConn{
+		g: g, nc: nc, lines: &coltsaccept.Conn{Conn: nc}, base: g.buffers.NewShare(), share: g.buffers.NewShare(),
+	}
 	c.br = bufio.NewReaderSize((*countingReader)(c), callerReadBytes)
 	return c
 }
@@ -113,7 +119,7 @@
 	if r.state.phase() == coltsbuffer.PhaseShed {
 		return 0, errShed
 	}
-	n, err := r.nc.Read(p)
+	n, err := r.lines.Read(p)
 	r.state.received.Add(int64(n))
 	return n, err
 }
@@ -187,6 +193,10 @@
 		_ = c.nc.SetReadDeadline(c.g.now().Add(closeLinger))
 		_, err = c.br.Peek(1)
 	}
+	if err != nil && !errors.Is(err, errShed) && !isTimeout(err) && !isDisconnect(err) {
+		// The first bytes of the request are refused, for example because of too many lines.
+		return c.refuseUnread(err)
+	}
 	return err == nil && c.state.enter(coltsbuffer.PhaseReading, c.g.now())
 }
 
