Refuse a message without taking its bytes from the budget for a moment

Requests could be refused with 503 while the budget had room for them, when longer ones that did not fit were refused at the same time, as under a crowd.

TryGrow added the bytes first and took them back if they exceeded the limit; in between, which lasts long if the thread loses its processor, others found the budget full. It now compares before it adds, with a compare-and-swap.

TestRefusedMessages fails without the change (11,614 of 20,000 messages refused) and passes with it: go test -race -count=1 ./coltsbuffer

--- a/coltsbuffer/buffer_budget.go
+++ b/coltsbuffer/buffer_budget.go
@@ -97,12 +97,17 @@
 	if size > ShortBytes {
 		limit -= s.budget.cfg.Reserve
 	}
-	if s.budget.used.Add(int64(more)) > int64(limit) {
-		s.budget.used.Add(int64(-more))
-		return &ExhaustedError{Wanted: size, Limit: s.budget.cfg.Limit}
+	// A message that does not fit must not take the room even for a moment: others would be refused.
+	for {
+		used := s.budget.used.Load()
+		if used+int64(more) > int64(limit) {
+			return &ExhaustedError{Wanted: size, Limit: s.budget.cfg.Limit}
+		}
+		if s.budget.used.CompareAndSwap(used, used+int64(more)) {
+			s.taken += more
+			return nil
+		}
 	}
-	s.taken += more
-	return nil
 }
 
 // Overdraw makes the share large enough for a message of size bytes even if the budget has no room, for
