Count no body for a gateway's connection whose request was refused

When memory was short, a search for connections to end could choose those whose requests had just been refused and whose memory was free already. It ended fewer others than needed, and an ordinary request was refused.

refuseUnread returned the share of the request, but the number of bytes that the search sees stayed until the connection ended, 250 ms later. Both are now reset together.

TestRefusedConnection fails without the change (24,576 bytes held instead of 16,384) and passes with it: go test -race -count=1 ./coltsgateway

--- a/coltsgateway/caller_conn.go
+++ b/coltsgateway/caller_conn.go
@@ -354,8 +354,10 @@
 func (c *callerConn) refuseUnread(err error) bool {
 	var bad *badRequestError
 	var exhausted *coltsbuffer.ExhaustedError
-	// The memory of the refused request is free before the caller has read the response.
+	// The memory of the refused request is free before the caller has read the response. A search for
+	// connections to end must not take it for memory that this one still holds.
 	c.share.Release()
+	c.state.held.Store(int64(c.g.connBytes))
 	switch {
 	case errors.As(err, &bad):
 	case errors.Is(err, errShed) || c.state.phase() == coltsbuffer.PhaseShed:
