Count a kept error response beside that of the next attempt

A gateway could hold 16 MB for one request of a route that is retried while it counted 8 MB: the error response that is kept in case no attempt succeeds, and the response that is being read. The other way round, a response that broke off kept its part of the budget, up to 8 MB, while its request waited for the next upstream.

All attempts used one share, which grows to the longest response and is released when the request ends. The kept response now has its own, and the share of an attempt is released when the attempt ends.

TestBufferedResponses fails without the change (100,000 bytes counted instead of 200,000, and instead of 0) and passes with it: go test -race -count=2 ./coltsgateway

--- a/coltsgateway/caller_conn.go
+++ b/coltsgateway/caller_conn.go
@@ -217,9 +217,12 @@
 	_ = c.nc.SetReadDeadline(time.Time{})
 	f := &forwarding{
 		g: c.g, conn: c, req: req, closeConn: req.Header.ConnectionClose() || !req.Header.IsHTTP11(),
-		buffered: c.g.buffers.NewShare(),
+		buffered: c.g.buffers.NewShare(), fallbackBuffered: c.g.buffers.NewShare(),
 	}
-	defer f.buffered.Release()
+	defer func() {
+		f.buffered.Release()
+		f.fallbackBuffered.Release()
+	}()
 	return f.serve()
 }
 
--- a/coltsgateway/forward_buffered.go
+++ b/coltsgateway/forward_buffered.go
@@ -32,6 +32,7 @@
 	text, rest := f.encodeResponse(x, status, content)
 	if status >= fasthttp.StatusInternalServerError && f.lifecycle.Route.Idempotent() {
 		f.fallback, f.fallbackRest, f.status = text, rest, status
+		f.buffered, f.fallbackBuffered = f.fallbackBuffered, f.buffered
 		return newAttemptError(coltsattempt.PhaseSent, coltsbalance.OutcomeAnswered,
 			"upstream %s answered status %d", f.choice.Upstream.ID, status)
 	}
--- a/coltsgateway/forward_request.go
+++ b/coltsgateway/forward_request.go
@@ -67,8 +67,10 @@
 	waited time.Duration
 	// tried are the upstreams of the attempts so far, in order.
 	tried []coltsidentity.Upstream
-	// buffered is what the response takes of the memory for buffers.
-	buffered *coltsbuffer.Share
+	// buffered is what the response of the current attempt takes of the memory for buffers,
+	// fallbackBuffered what fallback takes.
+	buffered         *coltsbuffer.Share
+	fallbackBuffered *coltsbuffer.Share
 }
 
 // serve serves the request and reports whether the connection can serve another.
@@ -188,6 +190,8 @@
 		f.g.capacityFreed.Broadcast()
 	}()
 	failure := f.exchange(ctx)
+	// Of the response, nothing is kept but the fallback.
+	f.buffered.Release()
 	outcome = coltsbalance.OutcomeAnswered
 	if failure != nil {
 		outcome = failure.outcome
