Let bodies wait for room that others are about to return

Control and the entry refused whole bodies with 503 while unfinished ones were giving way: when two requests needed room at the same moment, the second found no further slow body and was refused at once, though the first one's had not returned its memory yet. A body that was told to give way while it waited for room itself went on waiting for up to 300 ms, or took the room for which it had been told to give way, and the body that needed it was refused.

shed reported only bodies that it had just ended, and ended a body by the deadline of its read, which a body that waits for room does not notice. A room now knows which bodies give way and have not returned their memory; others wait for these, and a body that gives way neither waits for room nor takes any.

TestGivingWay fails without the change in each of its cases and passes with it: go test -race -count=5 ./coltsbody. coltsfront passes, too (-race, one run).

--- a/coltsbody/body.go
+++ b/coltsbody/body.go
@@ -134,6 +134,9 @@
 	}
 	b.unlist()
 	if err == nil {
+		if b.gaveWay.Load() {
+			b.room.settle(b)
+		}
 		// The deadline was that of the body. On a closed connection the response can't be sent either.
 		_ = b.conn.SetReadDeadline(time.Time{})
 		return b, nil
@@ -235,6 +238,7 @@
 		b.Release()
 		wasListed := b.listed
 		b.unlist()
+		b.gaveWay.Store(false)
 		b.room, b.share = room, share
 		if wasListed {
 			return b.list()
@@ -271,6 +275,9 @@
 	}
 	b.share.Release()
 	b.share = nil
+	if b.gaveWay.Load() {
+		b.room.settle(b)
+	}
 	b.room.released.Broadcast()
 }
 
--- a/coltsbody/body_room.go
+++ b/coltsbody/body_room.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"coltsfootstall/coltsbuffer"
 	"coltsfootstall/coltsloop"
 )
@@ -35,8 +37,12 @@
 	mu sync.Mutex
 	// unfinished holds the bodies that wait for bytes, and how many each has received.
 	unfinished map[*Body]*progress
+	// leaving holds the bodies that give way and have not returned their memory yet.
+	leaving map[*Body]struct{}
 }
 
+var errGaveWay = errors.New("it gave way to others")
+
 // progress is what has been received of a body.
 type progress struct {
 	startedAt time.Time
@@ -45,13 +51,19 @@
 }
 
 func newRoom(size int) *room {
-	return &room{budget: coltsbuffer.NewBudget(size), released: coltsloop.NewSignal(), unfinished: map[*Body]*progress{}}
+	return &room{
+		budget: coltsbuffer.NewBudget(size), released: coltsloop.NewSignal(),
+		unfinished: map[*Body]*progress{}, leaving: map[*Body]struct{}{},
+	}
 }
 
 // take makes a share size bytes large. If there is no room, slow bodies give way, and it waits for a short
-// time for what they return.
+// time for what they return. For a body that gives way itself it returns errGaveWay.
 func (r *room) take(share *coltsbuffer.Share, size int, b *Body, now func() time.Time) error {
 	released := r.released.Channel()
+	if b.gaveWay.Load() {
+		return errGaveWay
+	}
 	err := share.Grow(size + uncountedBytes)
 	if err == nil {
 		r.record(b, size)
@@ -69,6 +81,9 @@
 			return err
 		}
 		released = r.released.Channel()
+		if b.gaveWay.Load() {
+			return errGaveWay
+		}
 		if err = share.Grow(size + uncountedBytes); err == nil {
 			r.record(b, size)
 			return nil
@@ -103,7 +118,7 @@
 }
 
 // shed ends the reads of slow bodies, newest first, until they take size bytes together. It reports
-// whether there was one.
+// whether memory will be returned, also by bodies that gave way to others before.
 func (r *room) shed(size int, except *Body, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -121,11 +136,23 @@
 		}
 		freed += r.unfinished[b].size.Load()
 		delete(r.unfinished, b)
+		r.leaving[b] = struct{}{}
 		b.gaveWay.Store(true)
 		// The body's own goroutine returns the memory. On a closed connection its read has ended already.
 		_ = b.conn.SetReadDeadline(time.Unix(1, 0))
 	}
-	return len(slow) > 0
+	if freed > 0 {
+		// Those that wait for room themselves stop waiting.
+		r.released.Broadcast()
+	}
+	return len(r.leaving) > 0
+}
+
+// settle records that a body that gave way has returned its memory or is whole.
+func (r *room) settle(b *Body) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.leaving, b)
 }
 
 // isSlow reports whether a body that takes size bytes gives way to others.
