Bound writing a response at the entry's address for upstreams

A client of the entry's address for upstreams that did not read its responses held its connection for ever. Such a connection is never closed for another one, so 2,048 of them closed the address to all upstreams.

Only connections of callers bound their writes; the server of this address had no write timeout. It now has 5 s. Its responses have less than 1 KB.

--- a/coltsentry/entry_listeners.go
+++ b/coltsentry/entry_listeners.go
@@ -29,6 +29,8 @@
 	headerBufferBytes = 64 << 10
 	// readTimeout bounds reading one request.
 	readTimeout = 30 * time.Second
+	// writeTimeout bounds writing a response at the upstreams' address, which has less than 1 KB.
+	writeTimeout = 5 * time.Second
 	// smallBodyBytes is the memory for a small body of each connection.
 	smallBodyBytes = 64 << 10
 )
@@ -87,14 +89,17 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", addr)
 	}
+	cfg := coltsfront.Config{
+		Handler: guard(e, handler), Intake: intake, MaxConns: e.settings.MaxConns,
+		Name: "coltsfootstall", NoDate: true, HeaderBytes: headerBufferBytes,
+		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, OnClosed: e.shed.RecordClosed,
+	}
 	if wrap != nil {
-		ln = wrap(ln)
+		// Watched connections bound each write themselves, because a stream may take longer as a whole.
+		ln, cfg.WriteTimeout = wrap(ln), 0
 	}
-	return coltsfront.NewServer(coltsfront.Config{
-		Listener: ln, Handler: guard(e, handler), Intake: intake, MaxConns: e.settings.MaxConns,
-		Name: "coltsfootstall", NoDate: true, HeaderBytes: headerBufferBytes,
-		ReadTimeout: readTimeout, OnClosed: e.shed.RecordClosed,
-	}), nil
+	cfg.Listener = ln
+	return coltsfront.NewServer(cfg), nil
 }
 
 // newIntake returns the intake of the bodies from callers and upstreams. Each connection has room for a
