Free memory for requests that come at once beside a crowd

A search for connections to end freed what the first message needed, and none began within 20 ms of it: the others found nothing. A connection that had just been accepted also counted as idle until its first byte was read, and idle ones end before stalled ones. A search for memory now frees a sixteenth of the budget at least; who finds a search just before waits for the next one, as long as searches end connections; and connections of up to 250 ms end only if no older one can.

--- a/coltsgateway/caller_conn.go
+++ b/coltsgateway/caller_conn.go
@@ -95,11 +95,14 @@
 	base  *coltsbuffer.Share
 	share *coltsbuffer.Share
 	state connState
+	// acceptedAt is when the connection was accepted.
+	acceptedAt time.Time
 }
 
 func newCallerConn(g *Gateway, nc *coltswatch.Conn) *callerConn {
 	c := &callerConn{
 		g: g, nc: nc, lines: &coltsaccept.Conn{Conn: nc}, base: g.buffers.NewShare(), share: g.buffers.NewShare(),
+		acceptedAt: g.now(),
 	}
 	c.br = bufio.NewReaderSize((*countingReader)(c), callerReadBytes)
 	return c
--- a/coltsgateway/caller_open_conns.go
+++ b/coltsgateway/caller_open_conns.go
@@ -5,6 +5,7 @@
 // ended when either is short. Which ones end is decided by coltsbuffer.
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,9 +23,17 @@
 	// shedBatchShare is the divisor that gives how many connections end at once when the bound of open
 	// ones is reached, so that not every new one starts a search.
 	shedBatchShare = 64
+	// shedMemoryShare is the divisor that gives how much of the memory for buffers a search for memory frees
+	// at least. Others who need some before the next search find it.
+	shedMemoryShare = 16
+	// admitTries is how often a new connection looks for a place while each search ends others.
+	admitTries = 3
 	// roomWait is how long a message waits for the memory of connections that were ended to make room.
 	// Their goroutines release it as soon as they run.
 	roomWait = 20 * time.Millisecond
+	// newConnGrace is the age up to which a connection ends only if no older one can: its first request is
+	// on its way. It exceeds the round trip to callers.
+	newConnGrace = 250 * time.Millisecond
 	// shedLogPause is the least time between two log lines about ended connections.
 	shedLogPause = time.Second
 )
@@ -124,9 +133,10 @@
 // shedder ends connections when memory or descriptors are short.
 type shedder struct {
 	mu sync.Mutex
-	// nextAt is when the next search may begin, logAt when the next line may be logged, and unlogged the
-	// number of connections that ended since the last one.
+	// nextAt is when the next search may begin, and ended how many connections the last one ended. logAt is
+	// when the next line may be logged, and unlogged the number of connections that ended since the last one.
 	nextAt   time.Time
+	ended    int
 	logAt    time.Time
 	unlogged int
 }
@@ -142,7 +152,30 @@
 		return 0
 	}
 	s.nextAt = now.Add(shedPause)
+	if need.Bytes > 0 {
+		need.Bytes = max(need.Bytes, g.buffers.Limit()/shedMemoryShare)
+	}
 	conns := g.openConns.all()
+	older := slices.DeleteFunc(slices.Clone(conns), func(c *callerConn) bool { return now.Sub(c.acceptedAt) < newConnGrace })
+	n := endChosen(older, need, now)
+	if n == 0 {
+		n = endChosen(conns, need, now)
+	}
+	g.metrics.Add(coltsmetric.ConnectionsShed, int64(n))
+	s.ended = n
+	s.unlogged += n
+	if s.unlogged > 0 && !now.Before(s.logAt) {
+		g.log.Warn("Connections were ended to free memory or descriptors.", coltslog.Fields{
+			"ended": s.unlogged, "open": len(conns), "buffered-bytes": g.buffers.Used(), "buffer-limit": g.buffers.Limit(),
+			"connection-limit": g.maxConns,
+		})
+		s.unlogged, s.logAt = 0, now.Add(shedLogPause)
+	}
+	return n
+}
+
+// endChosen ends those of the connections that are chosen for a need, and returns their number.
+func endChosen(conns []*callerConn, need coltsbuffer.Need, now time.Time) int {
 	holders := make([]coltsbuffer.Holder, len(conns))
 	for i, c := range conns {
 		holders[i] = c.state.holder()
@@ -154,15 +187,6 @@
 			n++
 		}
 	}
-	g.metrics.Add(coltsmetric.ConnectionsShed, int64(n))
-	s.unlogged += n
-	if s.unlogged > 0 && !now.Before(s.logAt) {
-		g.log.Warn("Connections were ended to free memory or descriptors.", coltslog.Fields{
-			"ended": s.unlogged, "open": len(conns), "buffered-bytes": g.buffers.Used(), "buffer-limit": g.buffers.Limit(),
-			"connection-limit": g.maxConns,
-		})
-		s.unlogged, s.logAt = 0, now.Add(shedLogPause)
-	}
 	return n
 }
 
@@ -174,26 +198,54 @@
 	g.shedding.unlogged++
 }
 
-// makeRoom ends connections so that a message of the given size finds memory, and waits for it.
+// makeRoom ends connections so that a message of the given size finds memory, and waits for it. If the
+// previous search was just before, it waits for the next one.
 func (g *Gateway) makeRoom(size int) {
-	g.shed(coltsbuffer.Need{Bytes: size})
+	need := coltsbuffer.Need{Bytes: size}
+	if g.shed(need) == 0 {
+		time.Sleep(shedPause)
+		if g.buffers.Limit()-g.buffers.Used() < size {
+			g.shed(need)
+		}
+	}
 	time.Sleep(roomWait)
 }
 
+// findPlace ends connections unless there is a place for a new one, and reports whether there is one or
+// will be in a moment. While searches end connections, it waits for the next search.
+func (g *Gateway) findPlace(isFree func() bool, need coltsbuffer.Need) bool {
+	for range admitTries {
+		if isFree() || g.shed(need) > 0 {
+			return true
+		}
+		if g.shedding.foundNone() {
+			return false
+		}
+		time.Sleep(shedPause)
+	}
+	return false
+}
+
+// foundNone reports whether the last search ended no connection.
+func (s *shedder) foundNone() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended == 0
+}
+
 // admit takes memory and a place for a new connection, ending others if there is none, and reports
 // whether there is room for it.
 func (g *Gateway) admit(c *callerConn) bool {
-	if g.maxConns > 0 && g.openConns.count() >= g.maxConns &&
-		g.shed(coltsbuffer.Need{Connections: max(1, g.maxConns/shedBatchShare)}) == 0 {
+	hasPlace := func() bool { return g.maxConns == 0 || g.openConns.count() < g.maxConns }
+	if !g.findPlace(hasPlace, coltsbuffer.Need{Connections: max(1, g.maxConns/shedBatchShare)}) {
 		return false
 	}
-	if c.base.TryGrow(g.connBytes) != nil {
-		if g.shed(coltsbuffer.Need{Bytes: shedBatchShare * g.connBytes}) == 0 {
-			return false
-		}
-		// Those that were just ended release their memory in a moment.
-		c.base.Overdraw(g.connBytes)
+	takeMemory := func() bool { return c.base.TryGrow(g.connBytes) == nil }
+	if !g.findPlace(takeMemory, coltsbuffer.Need{Bytes: shedBatchShare * g.connBytes}) {
+		return false
 	}
+	// Those that were just ended release their memory in a moment.
+	c.base.Overdraw(g.connBytes)
 	c.state.held.Store(int64(g.connBytes))
 	c.state.enter(coltsbuffer.PhaseIdle, g.now())
 	g.openConns.add(c)
