Wake the next request in a gateway's queue when one has found room

When one request ended and its upstream had room for several that waited, a gateway started one or two of them. The others waited for the next end of a request or the next loads from the leader, and were refused after their time in the queue if neither came, while the upstream was nearly idle.

All waiting requests are woken together, but only the first in the queue may choose, and the others looked before it had left the queue. A request that leaves the queue with a choice now wakes the others again.

TestQueue fails without the change (five of six requests refused) and passed 10 of 10 runs with it: go test -race -count=10 -run TestQueue ./coltsgateway. What the further wake-ups cost with a long queue was not measured.

--- a/coltsgateway/forward_capacity.go
+++ b/coltsgateway/forward_capacity.go
@@ -28,9 +28,18 @@
 		}
 	}
 	ticket := f.g.queue.Join(f.lifecycle.Service, f.lifecycle.Priority(), f.lifecycle.DispatchDeadline())
-	defer f.g.queue.Leave(ticket)
+	chosen := false
+	defer func() {
+		f.g.queue.Leave(ticket)
+		if chosen {
+			// There may be room for the next one, too, which was woken while this one was still first.
+			f.g.capacityFreed.Broadcast()
+		}
+	}()
 	defer func() { f.waited += f.g.now().Sub(now) }()
-	return f.awaitCapacity(ctx, ticket)
+	choice, err := f.awaitCapacity(ctx, ticket)
+	chosen = err == nil
+	return choice, err
 }
 
 // awaitCapacity waits until the ticket is first in the queue and an upstream has capacity.
