Accept connections again after a shortage of memory in the system

Control, the entry and the operators' addresses stopped accepting connections for good, while their process lived, if accepting one failed because the system had no memory for it.

fasthttp ends its accept loop on any error but a timeout, and the listener handled only the lack of descriptors. It now treats ENOBUFS and ENOMEM alike.

TestScarceMemory fails without the change for both errors and passes with it: go test -race -count=1 ./coltsaccept

--- a/coltsaccept/accept.go
+++ b/coltsaccept/accept.go
@@ -17,7 +17,7 @@
 	"github.com/pkg/errors"
 )
 
-// retryPause is the pause before accepting again when no descriptor is left. Closing a connection takes
+// retryPause is the pause before accepting again when no descriptor or memory is left. Closing a connection takes
 // effect when the goroutine that reads from it has noticed.
 const retryPause = 5 * time.Millisecond
 
@@ -50,12 +50,19 @@
 	return &Listener{Listener: cfg.Listener, cfg: cfg, open: map[net.Conn]*list.Element{}, waiting: list.New()}
 }
 
-// Accept returns the next connection, a *Conn. If no descriptor is left it closes the connection that has waited
-// longest and tries again.
+// isScarce reports whether a connection could not be accepted because the process or the system is short of
+// descriptors or memory. fasthttp would stop serving for good.
+func isScarce(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
+		errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
+}
+
+// Accept returns the next connection, a *Conn. If no descriptor or memory is left it closes the connection
+// that has waited longest and tries again.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		nc, err := l.Listener.Accept()
-		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+		if isScarce(err) {
 			l.closeLongestWaiting()
 			time.Sleep(retryPause)
 			continue
