--- a/coltscommand/command_instance.go
+++ b/coltscommand/command_instance.go
@@ -31,7 +31,7 @@
 		Description: "Stops gracefully on SIGTERM: readiness fails at once, and responses in progress are completed.\n" +
 			"Example:\n   coltsfootstall entry --settings entry.jsonc",
 		Flags:  instanceFlags(),
-		Action: runEntry,
+		Action: instanceAction(runEntry),
 	}
 }
 
@@ -42,7 +42,7 @@
 		Description: "Stops gracefully on SIGTERM: readiness fails at once, and responses in progress are completed.\n" +
 			"Example:\n   coltsfootstall gateway --settings gateway.jsonc",
 		Flags:  instanceFlags(),
-		Action: runGateway,
+		Action: instanceAction(runGateway),
 	}
 }
 
@@ -53,7 +53,7 @@
 		Description: "Example:\n   coltsfootstall control --settings control.jsonc\n" +
 			"The first start puts the document named by control/initial-document in force.",
 		Flags:  instanceFlags(),
-		Action: runControl,
+		Action: instanceAction(runControl),
 	}
 }
 
@@ -77,15 +77,22 @@
 	failed <-chan struct{}
 }
 
+// instanceAction returns the action that runs an instance. SIGHUP asks for a reload of the settings; by
+// default it would end the process, also while that still reads its settings or its disk.
+func instanceAction(run func(ctx context.Context, c *cli.Command, sighups <-chan os.Signal) error) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		sighups := make(chan os.Signal, 1)
+		signal.Notify(sighups, syscall.SIGHUP)
+		defer signal.Stop(sighups)
+		return run(ctx, c, sighups)
+	}
+}
+
 // runInstance starts an instance and runs it until a stop signal arrives or its disk
 // fails.
-func runInstance(ctx context.Context, c *cli.Command, log *coltslog.Log, i instance) error {
+func runInstance(ctx context.Context, c *cli.Command, log *coltslog.Log, sighups <-chan os.Signal, i instance) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	// From now on SIGHUP reloads the settings instead of ending the process.
-	sighups := make(chan os.Signal, 1)
-	signal.Notify(sighups, syscall.SIGHUP)
-	defer signal.Stop(sighups)
 	if err := i.start(); err != nil {
 		return err
 	}
@@ -108,8 +115,8 @@
 // supervisor does not restart it many times a second while the disk still fails.
 const diskFailureExitDelay = time.Second
 
-func runEntry(ctx context.Context, c *cli.Command) error {
-	settings, err := loadSettings(ctx, c)
+func runEntry(ctx context.Context, c *cli.Command, sighups <-chan os.Signal) error {
+	settings, err := loadSettings(ctx, c, sighups)
 	if err != nil {
 		return err
 	}
@@ -118,11 +125,11 @@
 	if err != nil {
 		return err
 	}
-	return runInstance(ctx, c, log, instance{start: entry.Start, shutdown: entry.Shutdown})
+	return runInstance(ctx, c, log, sighups, instance{start: entry.Start, shutdown: entry.Shutdown})
 }
 
-func runControl(ctx context.Context, c *cli.Command) error {
-	settings, err := loadSettings(ctx, c)
+func runControl(ctx context.Context, c *cli.Command, sighups <-chan os.Signal) error {
+	settings, err := loadSettings(ctx, c, sighups)
 	if err != nil {
 		return err
 	}
@@ -137,7 +144,7 @@
 	}
 	i := instance{start: control.Start, shutdown: control.Shutdown, reload: control.Reload, failed: control.DiskFailed()}
 	if !settings.Control.ServiceAddr.IsValid() {
-		return runInstance(ctx, c, log, i)
+		return runInstance(ctx, c, log, sighups, i)
 	}
 	service := platform.NewControlServer(platform.ControlConfig{
 		Addr: settings.Control.ServiceAddr, BodyBytes: settings.Control.BodyBytes, MaxConns: settings.Control.MaxConns,
@@ -145,11 +152,11 @@
 	})
 	i.start = inOrder(control.Start, service.Start)
 	i.shutdown = inOrder(service.Shutdown, control.Shutdown)
-	return runInstance(ctx, c, log, i)
+	return runInstance(ctx, c, log, sighups, i)
 }
 
-func runGateway(ctx context.Context, c *cli.Command) error {
-	settings, err := loadSettings(ctx, c)
+func runGateway(ctx context.Context, c *cli.Command, sighups <-chan os.Signal) error {
+	settings, err := loadSettings(ctx, c, sighups)
 	if err != nil {
 		return err
 	}
@@ -160,7 +167,7 @@
 		debug.SetMemoryLimit(int64(coltsbuffer.RuntimeLimit(memory)))
 	}
 	gateway := coltsgateway.New(coltsgateway.Config{Settings: settings, Dialect: platform.Dialect(), Log: log})
-	return runInstance(ctx, c, log, instance{start: gateway.Start, shutdown: gateway.Shutdown, reload: gateway.Reload})
+	return runInstance(ctx, c, log, sighups, instance{start: gateway.Start, shutdown: gateway.Shutdown, reload: gateway.Reload})
 }
 
 // inOrder returns a function that calls the steps in order and stops at the first error.
--- a/coltscommand/instance_settings.go
+++ b/coltscommand/instance_settings.go
@@ -7,8 +7,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -35,7 +33,7 @@
 func instanceFlags() []cli.Flag { return []cli.Flag{settingsFlag(), awaitSettingsFlag()} }
 
 // loadSettings reads the settings of the instance that c runs.
-func loadSettings(ctx context.Context, c *cli.Command) (coltssettings.Settings, error) {
+func loadSettings(ctx context.Context, c *cli.Command, sighups <-chan os.Signal) (coltssettings.Settings, error) {
 	file := c.String("settings")
 	if file == "" {
 		return coltssettings.Default(), nil
@@ -46,15 +44,14 @@
 	}
 	defaults := coltssettings.Default()
 	defaults.LogJSON = true
-	return awaitSettings(ctx, file, err, newLog(c, defaults).Logger("settings"))
+	return awaitSettings(ctx, file, err, sighups, newLog(c, defaults).Logger("settings"))
 }
 
 // awaitSettings reads a file with invalid settings again on each SIGHUP and every reloadPeriod, until
 // the settings are valid or ctx ends. It logs each distinct error once, beginning with err.
-func awaitSettings(ctx context.Context, file string, err error, log *coltslog.Logger) (coltssettings.Settings, error) {
-	sighups := make(chan os.Signal, 1)
-	signal.Notify(sighups, syscall.SIGHUP)
-	defer signal.Stop(sighups)
+func awaitSettings(
+	ctx context.Context, file string, err error, sighups <-chan os.Signal, log *coltslog.Logger,
+) (coltssettings.Settings, error) {
 	ticker := time.NewTicker(reloadPeriod)
 	defer ticker.Stop()
 	logged := ""
