Choose the bodies that give way as a gateway chooses its connections

coltsbody had a rule and an order of its own for the same decision. Both use coltsbuffer.Choose now, each with its pace.

go test -race ./coltsbody ./coltsbuffer ./coltsfront ./coltsgateway and the crowd tests of control and the entry pass.

--- a/coltsbody/body_room.go
+++ b/coltsbody/body_room.go
@@ -5,7 +5,6 @@
 // because a client that sends a byte now and then makes none.
 
 import (
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,11 +16,6 @@
 )
 
 const (
-	// graceTime is the age up to which a body never gives way, leastRate the bytes per second of age beyond
-	// it. An operator's body of 4 MB arrives within 3 s even over a link that other traffic half fills, and
-	// its client waits for 5 s.
-	graceTime = time.Second
-	leastRate = 1 << 20
 	// roomWait bounds the wait for the room of bodies that give way. They are woken at once.
 	roomWait = 300 * time.Millisecond
 	// uncountedBytes is the part of a message that a share of coltsbuffer does not count.
@@ -41,6 +35,12 @@
 	leaving map[*Body]struct{}
 }
 
+// bodyPace returns the progress that a body must show. An operator's body of 4 MB arrives within 3 s even over
+// a link that other traffic half fills, and its client waits for 5 s.
+func bodyPace() coltsbuffer.Pace {
+	return coltsbuffer.Pace{Grace: time.Second, BytesPerSecond: 1 << 20}
+}
+
 var errGaveWay = errors.New("it gave way to others")
 
 // progress is what has been received of a body.
@@ -122,26 +122,25 @@
 func (r *room) shed(size int, except *Body, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var slow []*Body
+	var bodies []*Body
+	var holders []coltsbuffer.Holder
 	for b, p := range r.unfinished {
-		if b != except && isSlow(p.startedAt, p.size.Load(), now) {
-			slow = append(slow, b)
+		if b != except {
+			taken := int(p.size.Load())
+			bodies = append(bodies, b)
+			holders = append(holders, coltsbuffer.Holder{Phase: coltsbuffer.PhaseReading, Since: p.startedAt, Received: taken, Held: taken})
 		}
 	}
-	slices.SortFunc(slow, func(a, b *Body) int { return b.startedAt.Compare(a.startedAt) })
-	freed := int64(0)
-	for _, b := range slow {
-		if freed >= int64(size) {
-			break
-		}
-		freed += r.unfinished[b].size.Load()
+	chosen := coltsbuffer.Choose(holders, coltsbuffer.Need{Bytes: size}, bodyPace(), now)
+	for _, i := range chosen {
+		b := bodies[i]
 		delete(r.unfinished, b)
 		r.leaving[b] = struct{}{}
 		b.gaveWay.Store(true)
 		// The body's own goroutine returns the memory. On a closed connection its read has ended already.
 		_ = b.conn.SetReadDeadline(time.Unix(1, 0))
 	}
-	if freed > 0 {
+	if len(chosen) > 0 {
 		// Those that wait for room themselves stop waiting.
 		r.released.Broadcast()
 	}
@@ -154,9 +153,3 @@
 	defer r.mu.Unlock()
 	delete(r.leaving, b)
 }
-
-// isSlow reports whether a body that takes size bytes gives way to others.
-func isSlow(startedAt time.Time, size int64, now time.Time) bool {
-	spent := now.Sub(startedAt) - graceTime
-	return spent > time.Duration(float64(size)/leastRate*float64(time.Second))
-}
--- a/coltsbuffer/buffer_shed.go
+++ b/coltsbuffer/buffer_shed.go
@@ -1,6 +1,6 @@
 package coltsbuffer
 
-// Which connections end when memory or descriptors are short: first those that are idle, then those
+// Which connections or bodies end when memory or descriptors are short: first those that are idle, then those
 // whose request makes no progress. A request that is being served is never chosen.
 
 import (
@@ -9,14 +9,14 @@
 	"time"
 )
 
-const (
-	// readingGrace is the age from which a request that is being read must show progress. It exceeds
-	// several round trips, so that a caller that has just connected is not chosen.
-	readingGrace = 500 * time.Millisecond
-	// minBytesPerSecond is the least progress, counted from the beginning of the request, so that a byte
-	// now and then is none. The slowest link to a gateway carries five times as much.
-	minBytesPerSecond = 256 << 10
-)
+// Pace is the progress that a request must show while it is being read.
+type Pace struct {
+	// Grace is the age up to which a request need not show any.
+	Grace time.Duration
+	// BytesPerSecond is the least progress, counted from the beginning of the request, so that a byte now
+	// and then is none.
+	BytesPerSecond int
+}
 
 // Phase is what a connection is doing.
 type Phase int32
@@ -46,8 +46,8 @@
 }
 
 // isStalled reports whether the holder's request makes too little progress.
-func (h Holder) isStalled(now time.Time) bool {
-	return h.Phase == PhaseReading && now.Sub(h.Since) >= readingGrace && h.bytesPerSecond(now) < minBytesPerSecond
+func (h Holder) isStalled(pace Pace, now time.Time) bool {
+	return h.Phase == PhaseReading && now.Sub(h.Since) > pace.Grace && h.bytesPerSecond(now) < float64(pace.BytesPerSecond)
 }
 
 // Need is what is short.
@@ -59,12 +59,12 @@
 // Choose returns the indices of the holders that are to end so that what is needed becomes free, as far
 // as there are any. Idle ones come first, the longest idle one first. Stalled ones follow: if
 // connections are needed the one with the least progress first, otherwise the newest first.
-func Choose(holders []Holder, need Need, now time.Time) []int {
+func Choose(holders []Holder, need Need, pace Pace, now time.Time) []int {
 	var candidates []int
 	for i, h := range holders {
 		// One that holds nothing frees only a descriptor.
 		frees := h.Held > 0 || need.Connections > 0
-		if frees && (h.Phase == PhaseIdle || h.isStalled(now)) {
+		if frees && (h.Phase == PhaseIdle || h.isStalled(pace, now)) {
 			candidates = append(candidates, i)
 		}
 	}
--- a/coltsbuffer/buffer_shed_test.go
+++ b/coltsbuffer/buffer_shed_test.go
@@ -11,6 +11,7 @@
 
 func TestChoose(t *testing.T) {
 	now := time.Unix(1000, 0)
+	pace := Pace{Grace: 500 * time.Millisecond, BytesPerSecond: 256 << 10}
 	ago := func(d time.Duration) time.Time { return now.Add(-d) }
 	holders := []Holder{
 		{PhaseReading, ago(4 * time.Second), 3 << 20, 4 << 20},
@@ -34,7 +35,27 @@
 		"no more than are idle, stuck": {Need{Bytes: 100 << 20, Connections: 100}, []int{5, 4, 8, 2, 3}},
 	} {
 		t.Run("a need ends "+name, func(t *testing.T) {
-			assert.DeepEqual(t, append([]int(nil), Choose(holders, c.need, now)...), c.want)
+			assert.DeepEqual(t, append([]int(nil), Choose(holders, c.need, pace, now)...), c.want)
+		})
+	}
+}
+
+func TestPace(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name     string
+		received int
+		age      time.Duration
+		stalled  bool
+	}{
+		{"a request in its grace does not end", 2 << 10, time.Second, false},
+		{"a request without progress ends", 2 << 10, 1100 * time.Millisecond, true},
+		{"a request that arrives fast does not end", 4 << 20, 4 * time.Second, false},
+		{"a request that arrived fast and stopped ends", 1 << 20, 2100 * time.Millisecond, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := Holder{Phase: PhaseReading, Since: start, Received: c.received, Held: c.received}
+			assert.Equal(t, h.isStalled(Pace{Grace: time.Second, BytesPerSecond: 1 << 20}, start.Add(c.age)), c.stalled)
 		})
 	}
 }
--- a/coltsgateway/caller_open_conns.go
+++ b/coltsgateway/caller_open_conns.go
@@ -38,6 +38,12 @@
 	shedLogPause = time.Second
 )
 
+// readingPace returns the progress that a request must show. Its grace exceeds several round trips, so that a
+// caller that has just connected is not chosen. The slowest link to a gateway carries five times its rate.
+func readingPace() coltsbuffer.Pace {
+	return coltsbuffer.Pace{Grace: 500 * time.Millisecond, BytesPerSecond: 256 << 10}
+}
+
 // openConns is the set of open connections, sharded by remote address.
 type openConns struct {
 	shards [coltsshard.Count]openConnShard
@@ -181,7 +187,7 @@
 		holders[i] = c.state.holder()
 	}
 	n := 0
-	for _, i := range coltsbuffer.Choose(holders, need, now) {
+	for _, i := range coltsbuffer.Choose(holders, need, readingPace(), now) {
 		if conns[i].state.shed(holders[i].Phase) {
 			conns[i].endRead()
 			n++
