Forget upstreams that are gone in mirrors of the registry, and their addresses

An entry that expires takes its address along, unless another upstream has it.

TestExpiry fails without either. go test -race ./coltsregistry ./coltscontrol pass.

--- a/coltscontrol/registry_loop.go
+++ b/coltscontrol/registry_loop.go
@@ -44,6 +44,7 @@
 		}
 		wasLeader = isLeader
 		if !isLeader && m.poll(ctx) {
+			c.registry.SweepMirror(c.cfg.Now())
 			continue
 		}
 		if isLeader {
--- a/coltsregistry/registry.go
+++ b/coltsregistry/registry.go
@@ -275,6 +275,7 @@
 		r.ResetDeadlines(now)
 		return nil
 	}
+	r.expire(now, func(Entry) bool { return true })
 	var silent []Upstream
 	for i := range r.shards {
 		silent = append(silent, r.sweepShard(&r.shards[i], now)...)
@@ -282,15 +283,41 @@
 	return silent
 }
 
+// SweepMirror deletes the entries of upstreams that left or fell silent long ago from the mirror of another
+// registry. That one does not say when it deletes an entry, nor when an upstream reports without a change.
+func (r *Registry) SweepMirror(now time.Time) {
+	r.expire(now, func(e Entry) bool { return e.Silent || e.Upstream.State == StateGone })
+}
+
+// expire deletes the entries that have expired and may be deleted, with their addresses.
+func (r *Registry) expire(now time.Time, mayDelete func(Entry) bool) {
+	var deleted []Upstream
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.Lock()
+		for id, rec := range s.entries {
+			if !now.Before(rec.expiresAt) && mayDelete(rec.entry) {
+				delete(s.entries, id)
+				deleted = append(deleted, rec.entry.Upstream)
+			}
+		}
+		s.mu.Unlock()
+	}
+	for _, u := range deleted {
+		s := &r.owners[coltsshard.Of(u.Addr.String())]
+		s.mu.Lock()
+		if s.owners[u.Addr].id == u.ID {
+			delete(s.owners, u.Addr)
+		}
+		s.mu.Unlock()
+	}
+}
+
 func (r *Registry) sweepShard(s *entryShard, now time.Time) []Upstream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var silent []Upstream
 	for id, rec := range s.entries {
-		if !now.Before(rec.expiresAt) {
-			delete(s.entries, id)
-			continue
-		}
 		if rec.entry.Silent || rec.entry.Upstream.State == StateGone || now.Before(rec.overdueAt) {
 			continue
 		}
--- a/coltsregistry/registry_test.go
+++ b/coltsregistry/registry_test.go
@@ -157,6 +157,60 @@
 	})
 }
 
+// countKept returns the numbers of entries and of addresses in a registry.
+func countKept(r *Registry) (entries, addrs int) {
+	for i := range r.shards {
+		entries, addrs = entries+len(r.shards[i].entries), addrs+len(r.owners[i].owners)
+	}
+	return entries, addrs
+}
+
+func TestExpiry(t *testing.T) {
+	fill := func(t *testing.T, r *Registry, silent bool) {
+		t.Helper()
+		for i := range 100 {
+			u := report(fmt.Sprint(i), 0, 1, StateReady)
+			u.Addr = netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(i+1))
+			assert.Assert(t, r.Mirror(Entry{Upstream: u, Silent: silent}, start))
+		}
+	}
+	assertKept := func(t *testing.T, r *Registry, want int) {
+		t.Helper()
+		entries, addrs := countKept(r)
+		assert.Equal(t, entries, want)
+		assert.Equal(t, addrs, want)
+	}
+	t.Run("upstreams that no longer report are forgotten with their addresses", func(t *testing.T) {
+		r := newRegistry()
+		fill(t, r, false)
+		for at := time.Duration(0); at <= retentionPeriod; at += 100 * time.Millisecond {
+			r.Sweep(start.Add(at))
+		}
+		assertKept(t, r, 0)
+	})
+	t.Run("a mirror forgets upstreams that fell silent", func(t *testing.T) {
+		r := newRegistry()
+		fill(t, r, true)
+		r.SweepMirror(start.Add(retentionPeriod))
+		assertKept(t, r, 0)
+	})
+	t.Run("a mirror keeps upstreams that have not changed for long", func(t *testing.T) {
+		r := newRegistry()
+		fill(t, r, false)
+		r.SweepMirror(start.Add(100 * retentionPeriod))
+		assertKept(t, r, 100)
+	})
+	t.Run("an address that another upstream has taken stays its own", func(t *testing.T) {
+		r := newRegistry()
+		assertAccepted(t, r, report("a", 0, 1, StateReady), true)
+		later := start.Add(retentionPeriod - time.Second)
+		_, err := r.Report(report("b", 1, 1, StateReady), later)
+		assert.NilError(t, err)
+		r.SweepMirror(later.Add(retentionPeriod))
+		assertKept(t, r, 1)
+	})
+}
+
 func TestSince(t *testing.T) {
 	r := newRegistry()
 	assertAccepted(t, r, report("a", 0, 1, StateReady), true)
