--- a/coltscontrol/control_evacuation.go
+++ b/coltscontrol/control_evacuation.go
@@ -85,6 +85,13 @@
 	})
 }
 
+// awaitsCommit reports whether this instance must apply what was committed before its start until it answers
+// gateways, so that a gateway that has just started sends nothing to an evacuated data centre. While there is no
+// leader that takes time, in which gateways could serve with what was saved.
+func (c *Control) awaitsCommit() bool {
+	return c.settings.AwaitCommit || c.evacuations.Load().Revision > 0
+}
+
 // addEvacuations adds the evacuations to a reply if they are newer than what the caller has, and reports
 // whether they are.
 func (s *controlServer) addEvacuations(r *coltspb.WatchRequest, reply *coltspb.WatchReply) bool {
--- a/coltscontrol/registry_loop.go
+++ b/coltscontrol/registry_loop.go
@@ -194,7 +194,7 @@
 	for {
 		changed := s.c.watchChanged.Channel()
 		view := s.c.driver.view.Load()
-		if !s.c.stateFresh() || r.GetRegistryOnly() && !view.isLeader || !r.GetRegistryOnly() && !view.caughtUp {
+		if !s.c.stateFresh() || r.GetRegistryOnly() && !view.isLeader || !r.GetRegistryOnly() && !view.caughtUp && s.c.awaitsCommit() {
 			return nil, unavailable(errStaleState)
 		}
 		reply, hasChanges := s.watchReply(r)
--- a/coltssettings/settings.go
+++ b/coltssettings/settings.go
@@ -69,6 +69,7 @@
 	Seeds           []netip.AddrPort `json:"seeds" unit:"addresses" usage:"hosts of instances through which a group that forms itself is found; their port is that of control/address; empty for a group that replicas lists"`
 	FoundsGroup     bool             `json:"founds" unit:"" usage:"an instance that is a seed and has an empty folder founds the group together with the other seeds"`
 	ToleratedLosses int              `json:"tolerated-losses" unit:"instances" min:"0" usage:"instances whose loss at the same time a group that forms itself must bear"`
+	AwaitCommit     bool             `json:"await-commit" unit:"" usage:"an instance that has just started answers gateways only once it has applied what was committed before; otherwise it does so only if it knows of an order of evacuation"`
 	LoadOrderDelay  time.Duration    `json:"order-wait" unit:"duration" min:"0s" usage:"time for which a new leader gives runners no orders to load weights, so that two holders of that right don't take turns"`
 	SilentAfter     time.Duration    `json:"silent-after" unit:"duration" min:"100ms" usage:"time without a report after which an upstream counts as silent"`
 	ColdExcess      float64          `json:"cold-excess" unit:"factor" min:"0" usage:"factor on the requests a second that the route table allows to an upstream that is cold, for all gateways together"`
@@ -168,6 +169,7 @@
 			ColdExcess:     1,
 			BodyBytes:      48 << 20,
 			MaxConns:       3300,
+			AwaitCommit:    true,
 		},
 	}
 }
