--- a/coltscontrol/registry_loop.go
+++ b/coltscontrol/registry_loop.go
@@ -1,8 +1,8 @@
 package coltscontrol
 
 // The leader maintains the registry of upstreams. The other instances mirror it, so that a new leader
-// starts with its predecessor's entries. The registry is not stored on disk, because upstreams report
-// about once a second.
+// starts with its predecessor's entries. Reports don't go through the replicated log, because each
+// upstream reports about once a second; departures do.
 
 import (
 	"context"
