Check a departure's process and change its entry under one lock

By reading: Registry.Depart compared the start of the known process and then advanced the state by ID, each under its own lock. A process that reported in between under the same ID would have been marked as gone, though it had just started.

It uses updateEntry, which does both under one lock, and serves RecordLeaving, which was the same function for one state.

--- a/coltscontrol/control_departure.go
+++ b/coltscontrol/control_departure.go
@@ -41,7 +41,7 @@
 func (c *Control) applyDepartures() {
 	changed := false
 	for _, d := range c.machine.Departures.Current().Departures {
-		changed = c.registry.Depart(d.Process, d.State, c.cfg.Now()) || changed
+		changed = c.registry.Depart(d.Process, d.State) || changed
 	}
 	if changed {
 		c.watchChanged.Broadcast()
--- a/coltsregistry/registry.go
+++ b/coltsregistry/registry.go
@@ -186,23 +186,18 @@
 }
 
 // Depart records that a process has reached a state, and reports whether this changed its entry.
-func (r *Registry) Depart(p Process, state State, now time.Time) bool {
-	if known, _ := r.ProcessOf(p.ID); !known.StartedAt.Equal(p.StartedAt) {
-		return false
-	}
-	return r.advanceState(p.ID, state, now)
-}
-
-// RecordLeaving records that a process has told its callers that it is leaving, and reports whether this
-// changed its entry.
-func (r *Registry) RecordLeaving(p Process) bool {
+func (r *Registry) Depart(p Process, state State) bool {
 	return r.updateEntry(p.ID, p.StartedAt, func(e *Entry) bool {
-		changed := e.Upstream.State == StateReady
-		e.Upstream.State = max(e.Upstream.State, StateDraining)
+		changed := e.Upstream.State < state
+		e.Upstream.State = max(e.Upstream.State, state)
 		return changed
 	})
 }
 
+// RecordLeaving records that a process has told its callers that it is leaving, and reports whether this
+// changed its entry.
+func (r *Registry) RecordLeaving(p Process) bool { return r.Depart(p, StateDraining) }
+
 // advanceState moves an entry to a later state and reports whether it changed. It never
 // moves an entry back.
 func (r *Registry) advanceState(id coltsidentity.Upstream, state State, now time.Time) bool {
--- a/coltsregistry/registry_test.go
+++ b/coltsregistry/registry_test.go
@@ -275,3 +275,21 @@
 		Addr: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(1000+i)),
 	}
 }
+
+// Guards against a departure that takes a later process with the same ID out of use.
+func TestDepart(t *testing.T) {
+	t.Run("a process departs and does not return", func(t *testing.T) {
+		r := newRegistry()
+		assertAccepted(t, r, report("a", 0, 1, StateReady), true)
+		p := Process{ID: "a", StartedAt: start}
+		assert.Assert(t, r.Depart(p, StateGone))
+		assert.Assert(t, !r.Depart(p, StateDraining))
+		assertState(t, r, "a", StateGone)
+	})
+	t.Run("a later process with the same ID stays in use", func(t *testing.T) {
+		r := newRegistry()
+		assertAccepted(t, r, report("a", 1, 1, StateReady), true)
+		assert.Assert(t, !r.Depart(Process{ID: "a", StartedAt: start}, StateGone))
+		assertState(t, r, "a", StateReady)
+	})
+}
