Find the ends of events in one place

The search that continues where it stopped repeated the loop of the iterator over events. The iterator uses the search now.

--- a/coltsgateway/forward_stream.go
+++ b/coltsgateway/forward_stream.go
@@ -110,67 +110,59 @@
 }
 
 // eventScan searches a buffer that grows for the ends of events, each byte once: an event of 1 MB may come
-// in some hundred thousand reads.
+// in some hundred thousand reads. An event ends with an empty line, and a line with LF, CR LF or CR.
 type eventScan struct {
-	// next is the index of the first byte that has not been searched, lineStart that of its line's start.
-	next      int
+	// searched is the index of the first byte that has not been searched, lineStart that of its line's start.
+	searched  int
 	lineStart int
 }
 
-// endOfEvents returns the index just behind the last complete event, 0 if there is none.
-func (s *eventScan) endOfEvents(b []byte) int {
-	end := 0
-	for i := s.next; i < len(b); i++ {
+// next returns the index just behind the next complete event, 0 if there is none.
+func (s *eventScan) next(b []byte) int {
+	for i := s.searched; i < len(b); i++ {
 		if b[i] != '\n' && b[i] != '\r' {
 			continue
 		}
-		isEmpty := i == s.lineStart
-		if b[i] == '\r' && i+1 == len(b) {
+		isEmpty, isLast := i == s.lineStart, i+1 == len(b)
+		switch {
+		case b[i] == '\r' && isLast && !isEmpty:
 			// An LF of the same line may follow, so this byte is searched again.
-			s.next = i
-			if isEmpty {
-				end = i + 1
-			}
-			return end
-		}
-		if b[i] == '\r' && b[i+1] == '\n' {
+			s.searched = i
+			return 0
+		case b[i] == '\r' && !isLast && b[i+1] == '\n':
 			i++
 		}
 		s.lineStart = i + 1
 		if isEmpty {
-			end = s.lineStart
+			s.searched = i + 1
+			return i + 1
 		}
 	}
-	s.next = len(b)
-	return end
+	s.searched = len(b)
+	return 0
+}
+
+// endOfEvents returns the index just behind the last complete event, 0 if there is none.
+func (s *eventScan) endOfEvents(b []byte) int {
+	last := 0
+	for end := s.next(b); end > 0; end = s.next(b) {
+		last = end
+	}
+	return last
 }
 
 // drop records that the first n bytes have been removed from the buffer.
 func (s *eventScan) drop(n int) {
-	s.next, s.lineStart = max(0, s.next-n), max(0, s.lineStart-n)
+	s.searched, s.lineStart = max(0, s.searched-n), max(0, s.lineStart-n)
 }
 
-// events iterates over the complete events in b. An event ends with an empty line, and a line with LF,
-// CR LF or CR.
+// events iterates over the complete events in b.
 func events(b []byte) iter.Seq[[]byte] {
 	return func(yield func([]byte) bool) {
-		start, lineStart := 0, 0
-		for i := 0; i < len(b); i++ {
-			if b[i] != '\n' && b[i] != '\r' {
-				continue
-			}
-			isEmpty := i == lineStart
-			if b[i] == '\r' && i+1 < len(b) && b[i+1] == '\n' {
-				i++
-			}
-			lineStart = i + 1
-			if !isEmpty {
-				continue
-			}
-			if !yield(b[start:lineStart]) {
-				return
-			}
-			start = lineStart
+		var s eventScan
+		start := 0
+		for end := s.next(b); end > 0 && yield(b[start:end]); end = s.next(b) {
+			start = end
 		}
 	}
 }
--- a/coltsgateway/forward_stream_test.go
+++ b/coltsgateway/forward_stream_test.go
@@ -42,7 +42,7 @@
 		long := []byte(strings.Repeat("a", 1<<10))
 		for n := range len(long) {
 			s.endOfEvents(long[:n])
-			assert.Equal(t, s.next, n)
+			assert.Equal(t, s.searched, n)
 		}
 	})
 }
