Decode each route table once in a control instance

The leader decoded every table twice, for the stores that it manages and for the limits of cold upstreams, each in a loop of its own and at the same time. Both take what they need from a summary that is made once for each version, under a lock.

A table that can't be decoded has no known stores until the next one; before, it had none from the second look on.

--- a/coltscontrol/control.go
+++ b/coltscontrol/control.go
@@ -106,8 +106,10 @@
 	poison *coltspoison.Register
 	// warmup deals permits for requests to cold upstreams.
 	warmup *warmup
-	// routes is the newest route table that this instance has applied.
-	routes atomic.Pointer[coltsroute.EncodedTable]
+	// routes is the newest route table that this instance has applied, summaries what is needed of the one
+	// that was decoded last.
+	routes    atomic.Pointer[coltsroute.EncodedTable]
+	summaries routeSummaries
 	// evacuations is the newest state of the evacuations that this instance has applied, with the
 	// times of its own clock. evacuationTimes is used by the driver's loop only.
 	evacuations     atomic.Pointer[coltsevacuation.State]
--- a/coltscontrol/stores_loop.go
+++ b/coltscontrol/stores_loop.go
@@ -98,12 +98,11 @@
 			cancel()
 		}
 	}()
-	var table storeTable
 	ticker := time.NewTicker(storesPeriod)
 	defer ticker.Stop()
 	for {
 		leaderChanged := c.leaderChanged.Channel()
-		c.updateFollowers(ctx, &table, followed, &followers)
+		c.updateFollowers(ctx, followed, &followers)
 		select {
 		case <-ctx.Done():
 			return
@@ -116,9 +115,9 @@
 // updateFollowers starts and ends followers so that there is one for each managed store while this
 // instance leads, and none otherwise.
 func (c *Control) updateFollowers(
-	ctx context.Context, table *storeTable, followed map[coltsidentity.Service]context.CancelFunc, followers *sync.WaitGroup,
+	ctx context.Context, followed map[coltsidentity.Service]context.CancelFunc, followers *sync.WaitGroup,
 ) {
-	wanted, known := c.managedStores(ctx, table)
+	wanted, known := c.managedStores(ctx)
 	for name, cancel := range followed {
 		if _, ok := wanted[name]; !ok {
 			cancel()
@@ -145,16 +144,9 @@
 	}
 }
 
-// storeTable holds the managed stores of the last decoded route table.
-type storeTable struct {
-	version coltsroute.Version
-	stores  map[coltsidentity.Service]coltsroute.Store
-}
-
 // managedStores returns the managed stores of the current route table, none while there is no table,
-// and whether they are known, which is so only while this instance leads. t caches them, so that each table is
-// decoded once.
-func (c *Control) managedStores(ctx context.Context, t *storeTable) (map[coltsidentity.Service]coltsroute.Store, bool) {
+// and whether they are known, which is so only while this instance leads.
+func (c *Control) managedStores(ctx context.Context) (map[coltsidentity.Service]coltsroute.Store, bool) {
 	encoded := c.routes.Load()
 	if !c.driver.view.Load().isLeader {
 		return nil, false
@@ -166,21 +158,8 @@
 		err := c.driver.barrier(ctx)
 		return nil, err == nil && c.routes.Load().Version == 0
 	}
-	if encoded.Version == t.version {
-		return t.stores, true
-	}
-	*t = storeTable{version: encoded.Version, stores: map[coltsidentity.Service]coltsroute.Store{}}
-	table, err := c.cfg.DecodeTable(encoded.Source)
-	if err != nil {
-		c.log.Error("The route table could not be decoded.", coltslog.Fields{"version": encoded.Version, "error": err})
-		return nil, false
-	}
-	for _, s := range table.Services {
-		if s.Store != nil && s.Store.Managed {
-			t.stores[s.Name] = *s.Store
-		}
-	}
-	return t.stores, true
+	summary, err := c.summarise(*encoded)
+	return summary.stores, err == nil
 }
 
 // storeFollower follows the events of one store.
--- a/coltscontrol/warmup_loop.go
+++ b/coltscontrol/warmup_loop.go
@@ -52,19 +52,10 @@
 }
 
 func (w *warmup) apply(encoded coltsroute.EncodedTable) {
-	table, err := w.c.cfg.DecodeTable(encoded.Source)
-	if err != nil {
-		w.c.log.Error("The route table could not be decoded.", coltslog.Fields{"version": encoded.Version, "error": err})
-		return
+	if summary, err := w.c.summarise(encoded); err == nil {
+		w.limits.Store(&summary.coldLimits)
+		w.c.registry.SetColdDurations(summary.coldDurations)
 	}
-	limits := map[coltsidentity.Service]int{}
-	for _, s := range table.Services {
-		if s.LimitsCold() {
-			limits[s.Name] = coltswarmup.Limit(s.ColdRate, w.c.settings.ColdExcess, w.c.settings.ColdSlack)
-		}
-	}
-	w.limits.Store(&limits)
-	w.c.registry.SetColdDurations(table.ColdDurations())
 }
 
 // addPermits adds the permits for the asker to a reply that is about to be sent.
