Hold cold durations by one type in the registry and the balancer

Each had its own pointer, look-up and set function for the same map. The count of cold upstreams uses the loop over usable ones that exists. go test -race of coltsbalance, coltsregistry, coltswarmup, coltstrade and coltsgateway pass.

--- a/coltsbalance/balance_warmup.go
+++ b/coltsbalance/balance_warmup.go
@@ -26,7 +26,7 @@
 // isInformed reports whether a choice may rely on which upstreams seem empty. For services that limit
 // requests to cold processes it may not while the leader is not heard.
 func (b *Balancer) isInformed(service coltsidentity.Service, now time.Time) bool {
-	if _, limited := b.coldDuration(service); !limited {
+	if _, limited := b.coldDurations.Of(service); !limited {
 		return true
 	}
 	informedAt := b.informedAt.Load()
@@ -56,18 +56,7 @@
 // SetColdDurations sets how long processes are cold after their start, for each service that limits requests
 // to cold processes. The caller must not modify the map afterwards.
 func (b *Balancer) SetColdDurations(durations map[coltsidentity.Service]time.Duration) {
-	b.coldDurations.Store(&durations)
-}
-
-// coldDuration returns how long a service's processes are cold after their start, and whether requests to
-// them are limited.
-func (b *Balancer) coldDuration(service coltsidentity.Service) (time.Duration, bool) {
-	durations := b.coldDurations.Load()
-	if durations == nil {
-		return 0, false
-	}
-	d, limited := (*durations)[service]
-	return d, limited
+	b.coldDurations.Set(durations)
 }
 
 // isCold reports whether an upstream gets only requests with a permit.
@@ -75,7 +64,7 @@
 	if !u.record.IsCold(now) && !now.Before(u.warmup.markedUntil) {
 		return false
 	}
-	_, limited := b.coldDuration(u.record.Service)
+	_, limited := b.coldDurations.Of(u.record.Service)
 	return limited
 }
 
@@ -103,7 +92,7 @@
 // awaitsPermit reports whether a demand could be sent to a cold upstream now if there were a permit. One that is
 // also evacuated or paused is excluded whatever the permits are.
 func (b *Balancer) awaitsPermit(d Demand, now time.Time) bool {
-	if _, limited := b.coldDuration(d.Service); !limited {
+	if _, limited := b.coldDurations.Of(d.Service); !limited {
 		return false
 	}
 	for i := range b.shards {
@@ -152,7 +141,7 @@
 		s := &b.shards[i]
 		s.mu.Lock()
 		for _, u := range s.upstreams {
-			d, limited := b.coldDuration(u.record.Service)
+			d, limited := b.coldDurations.Of(u.record.Service)
 			if until := since.Add(d); limited && u.record.DataCentre == dataCentre && until.After(u.warmup.markedUntil) {
 				u.warmup.markedUntil = until
 			}
@@ -173,7 +162,7 @@
 	if !known || !u.record.StartedAt.Equal(p.StartedAt) {
 		return
 	}
-	if d, limited := b.coldDuration(u.record.Service); limited {
+	if d, limited := b.coldDurations.Of(u.record.Service); limited {
 		u.warmup.markedUntil = now.Add(2 * d)
 	}
 }
@@ -184,18 +173,13 @@
 // ColdUpstreams returns the number of upstreams that are cold.
 func (b *Balancer) ColdUpstreams(now time.Time) int {
 	n := 0
-	if durations := b.coldDurations.Load(); durations == nil || len(*durations) == 0 {
+	if b.coldDurations.IsEmpty() {
 		return n
 	}
-	for i := range b.shards {
-		s := &b.shards[i]
-		s.mu.Lock()
-		for _, u := range s.upstreams {
-			if b.isCold(u, now) && u.usable(now) {
-				n++
-			}
+	b.eachUsable(now, func(u *upstream) {
+		if b.isCold(u, now) {
+			n++
 		}
-		s.mu.Unlock()
-	}
+	})
 	return n
 }
--- a/coltsbalance/balancer.go
+++ b/coltsbalance/balancer.go
@@ -23,9 +23,8 @@
 	// roundRobin counts the choices of the round-robin policy.
 	roundRobin atomic.Uint64
 	// evacuated is nil while no data centre is evacuated.
-	evacuated atomic.Pointer[evacuations]
-	// coldDurations holds how long processes are cold after their start, by service; nil until it is set.
-	coldDurations atomic.Pointer[map[coltsidentity.Service]time.Duration]
+	evacuated     atomic.Pointer[evacuations]
+	coldDurations coltsregistry.ColdDurations
 	coldWaits     atomic.Int64
 	// informedAt is when the leader last told the loads of the other instances; nil if it never has.
 	informedAt atomic.Pointer[time.Time]
--- a/coltsregistry/registry_warmup.go
+++ b/coltsregistry/registry_warmup.go
@@ -15,11 +15,40 @@
 // take up to a few tenths of a second to arrive, so the deadlines derived from them differ slightly.
 const coldTolerance = 250 * time.Millisecond
 
+// ColdDurations holds how long processes are cold after their start, for each service that limits requests to
+// cold processes. It is replaced as a whole, and safe for concurrent use. The zero value is not set.
+type ColdDurations struct {
+	byService atomic.Pointer[map[coltsidentity.Service]time.Duration]
+}
+
+// Set replaces the durations. The caller must not modify the map afterwards.
+func (c *ColdDurations) Set(byService map[coltsidentity.Service]time.Duration) {
+	c.byService.Store(&byService)
+}
+
+// IsSet reports whether the durations are known.
+func (c *ColdDurations) IsSet() bool { return c.byService.Load() != nil }
+
+// IsEmpty reports whether no service is known to limit requests to cold processes.
+func (c *ColdDurations) IsEmpty() bool {
+	byService := c.byService.Load()
+	return byService == nil || len(*byService) == 0
+}
+
+// Of returns how long a service's processes are cold after their start, and whether requests to them are
+// limited.
+func (c *ColdDurations) Of(service coltsidentity.Service) (time.Duration, bool) {
+	byService := c.byService.Load()
+	if byService == nil {
+		return 0, false
+	}
+	d, limited := (*byService)[service]
+	return d, limited
+}
+
 // warmup holds what the registry knows about cold upstreams besides its entries.
 type warmup struct {
-	// durations holds how long processes are cold after their start, by service. It is nil until it
-	// is set, and is replaced as a whole.
-	durations atomic.Pointer[map[coltsidentity.Service]time.Duration]
+	durations ColdDurations
 	// latest is the latest deadline of any entry so far, in nanoseconds since the Unix epoch. While no
 	// upstream is cold, it saves a scan of the entries.
 	latest atomic.Int64
@@ -36,34 +65,25 @@
 	}
 }
 
-func (w *warmup) duration(service coltsidentity.Service) (time.Duration, bool) {
-	durations := w.durations.Load()
-	if durations == nil {
-		return 0, false
-	}
-	d, limited := (*durations)[service]
-	return d, limited
-}
-
 // SetColdDurations sets how long processes are cold after their start, for each service that limits requests
 // to cold processes. The caller must not modify the map afterwards.
 func (r *Registry) SetColdDurations(durations map[coltsidentity.Service]time.Duration) {
-	r.warmup.durations.Store(&durations)
+	r.warmup.durations.Set(durations)
 }
 
 // LimitsCold reports whether a service limits requests to cold processes.
 func (r *Registry) LimitsCold(service coltsidentity.Service) bool {
-	_, limited := r.warmup.duration(service)
+	_, limited := r.warmup.durations.Of(service)
 	return limited
 }
 
 // coldUntil returns until when the process of a report is cold. known is the last report of the same ID,
 // nil if there is none.
 func (r *Registry) coldUntil(u Upstream, known *Upstream, now time.Time) time.Time {
-	d, limited := r.warmup.duration(u.Service)
+	d, limited := r.warmup.durations.Of(u.Service)
 	isSame := known != nil && u.SameProcess(*known)
 	switch {
-	case !limited && isSame && r.warmup.durations.Load() == nil:
+	case !limited && isSame && !r.warmup.durations.IsSet():
 		// After a restart of control, reports come before the route table is known.
 		return known.ColdUntil
 	case !limited:
@@ -138,7 +158,7 @@
 		s := &r.shards[i]
 		s.mu.Lock()
 		for id, rec := range s.entries {
-			d, limited := r.warmup.duration(rec.entry.Upstream.Service)
+			d, limited := r.warmup.durations.Of(rec.entry.Upstream.Service)
 			until := since.Add(d)
 			if !limited || rec.entry.Upstream.DataCentre != dataCentre || !until.After(rec.entry.Upstream.ColdUntil) {
 				continue
