--- a/coltsbalance/balance_advice.go
+++ b/coltsbalance/balance_advice.go
@@ -52,9 +52,9 @@
 	for i := range b.shards {
 		s := &b.shards[i]
 		s.mu.Lock()
-		for id, u := range s.upstreams {
+		for _, u := range s.upstreams {
 			if u.advice.Leaving() && u.record.State == coltsregistry.StateReady {
-				leaving = append(leaving, coltsregistry.Process{ID: id, StartedAt: u.record.StartedAt})
+				leaving = append(leaving, u.record.Process())
 			}
 		}
 		s.mu.Unlock()
--- a/coltscontrol/registry_loop.go
+++ b/coltscontrol/registry_loop.go
@@ -10,7 +10,6 @@
 
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslog"
-	"coltsfootstall/coltsregistry"
 	"coltsfootstall/coltsstore"
 	"coltsfootstall/coltswire"
 	"coltsfootstall/coltswire/coltspb"
@@ -149,7 +148,7 @@
 	if r.GetLeaving() {
 		changed = s.c.registry.Leave(u.ID, u.StartedAt, now)
 	} else {
-		u.State = max(u.State, s.c.machine.Departures.StateOf(coltsregistry.Process{ID: u.ID, StartedAt: u.StartedAt}))
+		u.State = max(u.State, s.c.machine.Departures.StateOf(u.Process()))
 		changed, err = s.c.registry.Report(u, now)
 	}
 	if err != nil {
--- a/coltscontrol/warmup_loop.go
+++ b/coltscontrol/warmup_loop.go
@@ -10,7 +10,6 @@
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsmetric"
-	"coltsfootstall/coltsregistry"
 	"coltsfootstall/coltsroute"
 	"coltsfootstall/coltswarmup"
 	"coltsfootstall/coltswire"
@@ -68,7 +67,7 @@
 	var cold []coltswarmup.Cold
 	for _, u := range w.c.registry.Cold(now) {
 		if limit := limits[u.Service]; limit > 0 {
-			cold = append(cold, coltswarmup.Cold{Process: coltsregistry.Process{ID: u.ID, StartedAt: u.StartedAt}, Limit: limit})
+			cold = append(cold, coltswarmup.Cold{Process: u.Process(), Limit: limit})
 		}
 	}
 	// Groups that form from seeds use no leader leases. But the last round that a quorum acknowledged to a
--- a/coltsgateway/upstream_advice.go
+++ b/coltsgateway/upstream_advice.go
@@ -9,7 +9,6 @@
 	"coltsfootstall/coltsbalance"
 	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsmetric"
-	"coltsfootstall/coltsregistry"
 )
 
 // recordLeaving records that the upstream has said that it is leaving. A response that names another
@@ -46,8 +45,7 @@
 
 // recordEnded records that nothing listens any more at the address of a choice.
 func (g *Gateway) recordEnded(choice coltsbalance.Choice) {
-	process := coltsregistry.Process{ID: choice.Upstream.ID, StartedAt: choice.Upstream.StartedAt}
-	g.balancer.RecordEnded(process, g.now())
+	g.balancer.RecordEnded(choice.Upstream.Process(), g.now())
 }
 
 // checkWithdrawn returns a failure if, since it was chosen, the upstream has asked for a pause or said that
--- a/coltsregistry/registry.go
+++ b/coltsregistry/registry.go
@@ -182,7 +182,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u := s.entries[id].entry.Upstream
-	return Process{ID: id, StartedAt: u.StartedAt}, u.State
+	return u.Process(), u.State
 }
 
 // Depart records that a process has reached a state, and reports whether this changed its entry.
--- a/coltsregistry/registry_upstream.go
+++ b/coltsregistry/registry_upstream.go
@@ -146,6 +146,9 @@
 	StartedAt time.Time
 }
 
+// Process returns the process that the report is about.
+func (u Upstream) Process() Process { return Process{ID: u.ID, StartedAt: u.StartedAt} }
+
 // Entry is what the registry knows about an upstream.
 type Entry struct {
 	Upstream Upstream
