Ask in one place whether descriptors have run out

The pool and the listeners compared an error with the same two codes. The framing of requests counts hexadecimal digits by the standard library. go test -race of coltspool, coltsaccept and coltsfront pass, and FuzzFraming.

--- a/coltsaccept/accept.go
+++ b/coltsaccept/accept.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"coltsfootstall/coltslink"
 )
 
 // retryPause is the pause before accepting again when no descriptor or memory is left. Closing a connection takes
@@ -53,8 +55,7 @@
 // isScarce reports whether a connection could not be accepted because the process or the system is short of
 // descriptors or memory. fasthttp would stop serving for good.
 func isScarce(err error) bool {
-	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
-		errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
+	return coltslink.IsOutOfDescriptors(err) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
 }
 
 // Accept returns the next connection, a *Conn. If no descriptor or memory is left it closes the connection
--- a/coltsaccept/accept_conn.go
+++ b/coltsaccept/accept_conn.go
@@ -170,10 +170,7 @@
 
 // startChunk takes the length of a chunk from its line.
 func (f *framing) startChunk(line []byte) error {
-	digits := 0
-	for digits < len(line) && isHexDigit(line[digits]) {
-		digits++
-	}
+	digits := len(line) - len(bytes.TrimLeft(line, "0123456789abcdefABCDEF"))
 	if digits > maxLengthDigits {
 		return errLongLength
 	}
@@ -186,7 +183,3 @@
 	f.left, f.section = n+int64(len("\r\n")), sectionBody
 	return nil
 }
-
-func isHexDigit(c byte) bool {
-	return '0' <= c && c <= '9' || 'a' <= c && c <= 'f' || 'A' <= c && c <= 'F'
-}
--- a/coltslink/link_http.go
+++ b/coltslink/link_http.go
@@ -9,9 +9,11 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
+	"syscall"
 	"time"
 )
 
@@ -97,3 +99,8 @@
 	}
 	return tcp.AddrPort()
 }
+
+// IsOutOfDescriptors reports whether an error says that the process or the machine has no descriptor left.
+func IsOutOfDescriptors(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
--- a/coltspool/pool.go
+++ b/coltspool/pool.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"coltsfootstall/coltslink"
 	"coltsfootstall/coltsshard"
 )
 
@@ -266,7 +267,7 @@
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	nc, err := p.cfg.Dial(ctx, addr)
-	if isOutOfDescriptors(err) && p.closeLongestIdle() {
+	if coltslink.IsOutOfDescriptors(err) && p.closeLongestIdle() {
 		nc, err = p.cfg.Dial(ctx, addr)
 	}
 	if err != nil {
@@ -279,11 +280,6 @@
 	return c, nil
 }
 
-// isOutOfDescriptors reports whether an error says that the process or the machine has no descriptor left.
-func isOutOfDescriptors(err error) bool {
-	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
-}
-
 func dialTCP(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 	var d net.Dialer
 	return d.DialContext(ctx, "tcp", addr.String())
