Keep no copy of what a body already holds

The room of bodies had a record with each body's start, which the body has, and an atomic size that is read and written under the room's lock only. go test -race ./coltsbody ./coltsfront pass, twice.

--- a/coltsbody/body_room.go
+++ b/coltsbody/body_room.go
@@ -6,7 +6,6 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,8 +28,9 @@
 	released *coltsloop.Signal
 
 	mu sync.Mutex
-	// unfinished holds the bodies that wait for bytes, and how many each has received.
-	unfinished map[*Body]*progress
+	// unfinished holds the bodies that wait for bytes, with the memory that each takes; it has received at
+	// least half of that.
+	unfinished map[*Body]int
 	// leaving holds the bodies that give way and have not returned their memory yet.
 	leaving map[*Body]struct{}
 }
@@ -43,17 +43,10 @@
 
 var errGaveWay = errors.New("it gave way to others")
 
-// progress is what has been received of a body.
-type progress struct {
-	startedAt time.Time
-	// size is the memory that the body takes; it has received at least half of that.
-	size atomic.Int64
-}
-
 func newRoom(size int) *room {
 	return &room{
 		budget: coltsbuffer.NewBudget(size), released: coltsloop.NewSignal(),
-		unfinished: map[*Body]*progress{}, leaving: map[*Body]struct{}{},
+		unfinished: map[*Body]int{}, leaving: map[*Body]struct{}{},
 	}
 }
 
@@ -92,11 +85,9 @@
 }
 
 func (r *room) list(b *Body) {
-	p := &progress{startedAt: b.startedAt}
-	p.size.Store(int64(cap(b.Bytes)))
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.unfinished[b] = p
+	r.unfinished[b] = cap(b.Bytes)
 }
 
 func (r *room) unlist(b *Body) {
@@ -112,8 +103,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if p := r.unfinished[b]; p != nil {
-		p.size.Store(int64(size))
+	if _, waits := r.unfinished[b]; waits {
+		r.unfinished[b] = size
 	}
 }
 
@@ -124,11 +115,10 @@
 	defer r.mu.Unlock()
 	var bodies []*Body
 	var holders []coltsbuffer.Holder
-	for b, p := range r.unfinished {
+	for b, taken := range r.unfinished {
 		if b != except {
-			taken := int(p.size.Load())
 			bodies = append(bodies, b)
-			holders = append(holders, coltsbuffer.Holder{Phase: coltsbuffer.PhaseReading, Since: p.startedAt, Received: taken, Held: taken})
+			holders = append(holders, coltsbuffer.Holder{Phase: coltsbuffer.PhaseReading, Since: b.startedAt, Received: taken, Held: taken})
 		}
 	}
 	chosen := coltsbuffer.Choose(holders, coltsbuffer.Need{Bytes: size}, bodyPace(), now)
