Go through the balancer's upstreams by one loop

Seven places locked each shard in turn to look at every upstream. They use one function. Gateways keep upstreams that have left for as long as the registry, by its constant. Two types are described in plainer words.

go test -race of coltsbalance, coltsgateway, coltsregistry, coltstrade, coltswarmup passed with all loops changed, go test of coltsbalance and coltsgateway again after.

--- a/coltsbalance/balance_advice.go
+++ b/coltsbalance/balance_advice.go
@@ -49,15 +49,10 @@
 // still reports as ready.
 func (b *Balancer) Leaving() []coltsregistry.Process {
 	var leaving []coltsregistry.Process
-	for i := range b.shards {
-		s := &b.shards[i]
-		s.mu.Lock()
-		for _, u := range s.upstreams {
-			if u.advice.Leaving() && u.record.State == coltsregistry.StateReady {
-				leaving = append(leaving, u.record.Process())
-			}
+	b.each(func(u *upstream) {
+		if u.advice.Leaving() && u.record.State == coltsregistry.StateReady {
+			leaving = append(leaving, u.record.Process())
 		}
-		s.mu.Unlock()
-	}
+	})
 	return leaving
 }
--- a/coltsbalance/balance_average.go
+++ b/coltsbalance/balance_average.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// LoadEstimate says how the load of the other instances at an upstream is estimated.
+// LoadEstimate is the way in which the load of the other instances at an upstream is estimated.
 type LoadEstimate string
 
 // The estimates.
@@ -30,7 +30,7 @@
 const loadMeanTime = time.Second
 
 const (
-	// shareExponent says how much fewer requests a more loaded upstream gets.
+	// shareExponent is the power of an upstream's load with which its share of the requests falls.
 	shareExponent = 2
 	// shareSteps is the resolution of a random draw.
 	shareSteps = 1 << 20
--- a/coltsbalance/balance_evacuation.go
+++ b/coltsbalance/balance_evacuation.go
@@ -62,21 +62,16 @@
 		return nil
 	}
 	e := &EvacuatedError{Service: d.Service}
-	for i := range b.shards {
-		s := &b.shards[i]
-		s.mu.Lock()
-		for _, u := range s.upstreams {
-			dc := u.record.DataCentre
-			if u.record.Service != d.Service || !b.isEvacuated(dc) || u.unsuitable(d, now) != ExclusionNone {
-				continue
-			}
-			e.Upstreams++
-			if !slices.Contains(e.DataCentres, dc) {
-				e.DataCentres = append(e.DataCentres, dc)
-			}
+	b.each(func(u *upstream) {
+		dc := u.record.DataCentre
+		if u.record.Service != d.Service || !b.isEvacuated(dc) || u.unsuitable(d, now) != ExclusionNone {
+			return
 		}
-		s.mu.Unlock()
-	}
+		e.Upstreams++
+		if !slices.Contains(e.DataCentres, dc) {
+			e.DataCentres = append(e.DataCentres, dc)
+		}
+	})
 	if e.Upstreams == 0 {
 		return nil
 	}
--- a/coltsbalance/balance_explain.go
+++ b/coltsbalance/balance_explain.go
@@ -146,24 +146,19 @@
 	var candidates []candidate
 	var loading []bool
 	preferred := false
-	for i := range b.shards {
-		s := &b.shards[i]
-		s.mu.Lock()
-		for _, u := range s.upstreams {
-			if u.record.Service != d.Service {
-				continue
-			}
-			e := Explained{
-				Upstream: u.record.ID, DataCentre: u.record.DataCentre, Excluded: b.exclusion(u, d, now),
-				OwnLoad: u.load, PeerLoad: u.peerLoad, PeerLoadAt: u.peerLoadUntil.Add(-peerLoadTTL), PeerLoadUntil: u.peerLoadUntil,
-				PausedUntil: u.advice.PausedUntil(now),
-			}
-			explained, candidates = append(explained, e), append(candidates, b.newCandidate(u, d, now))
-			preferred = preferred || e.Excluded == ExclusionNone && !u.avoided(now)
-			loading = append(loading, u.loading)
+	b.each(func(u *upstream) {
+		if u.record.Service != d.Service {
+			return
 		}
-		s.mu.Unlock()
-	}
+		e := Explained{
+			Upstream: u.record.ID, DataCentre: u.record.DataCentre, Excluded: b.exclusion(u, d, now),
+			OwnLoad: u.load, PeerLoad: u.peerLoad, PeerLoadAt: u.peerLoadUntil.Add(-peerLoadTTL), PeerLoadUntil: u.peerLoadUntil,
+			PausedUntil: u.advice.PausedUntil(now),
+		}
+		explained, candidates = append(explained, e), append(candidates, b.newCandidate(u, d, now))
+		preferred = preferred || e.Excluded == ExclusionNone && !u.avoided(now)
+		loading = append(loading, u.loading)
+	})
 	if preferred {
 		excludeAvoided(explained, candidates, loading)
 	}
--- a/coltsbalance/balance_imbalance.go
+++ b/coltsbalance/balance_imbalance.go
@@ -76,14 +76,9 @@
 
 // eachUsable calls f for each upstream that is in use, with its shard locked.
 func (b *Balancer) eachUsable(now time.Time, f func(u *upstream)) {
-	for i := range b.shards {
-		s := &b.shards[i]
-		s.mu.Lock()
-		for _, u := range s.upstreams {
-			if u.usable(now) {
-				f(u)
-			}
+	b.each(func(u *upstream) {
+		if u.usable(now) {
+			f(u)
 		}
-		s.mu.Unlock()
-	}
+	})
 }
--- a/coltsbalance/balance_report.go
+++ b/coltsbalance/balance_report.go
@@ -7,7 +7,7 @@
 
 import "time"
 
-// LoadReport says how the load of an instance at an upstream is reported to the others.
+// LoadReport is the way in which the load of an instance at an upstream is reported to the others.
 type LoadReport string
 
 const (
--- a/coltsbalance/balance_warmup.go
+++ b/coltsbalance/balance_warmup.go
@@ -137,17 +137,12 @@
 // their service limits requests to cold processes, they are cold for as long as after a start, unless control
 // says otherwise later.
 func (b *Balancer) MarkCold(dataCentre coltsidentity.DataCentre, since time.Time) {
-	for i := range b.shards {
-		s := &b.shards[i]
-		s.mu.Lock()
-		for _, u := range s.upstreams {
-			d, limited := b.coldDurations.Of(u.record.Service)
-			if until := since.Add(d); limited && u.record.DataCentre == dataCentre && until.After(u.warmup.markedUntil) {
-				u.warmup.markedUntil = until
-			}
+	b.each(func(u *upstream) {
+		d, limited := b.coldDurations.Of(u.record.Service)
+		if until := since.Add(d); limited && u.record.DataCentre == dataCentre && until.After(u.warmup.markedUntil) {
+			u.warmup.markedUntil = until
 		}
-		s.mu.Unlock()
-	}
+	})
 }
 
 // RecordEnded records that a process of an upstream has ended: nothing listens at its address. Another
--- a/coltsbalance/balancer.go
+++ b/coltsbalance/balancer.go
@@ -78,6 +78,18 @@
 	return b
 }
 
+// each calls f for each upstream, with its shard locked.
+func (b *Balancer) each(f func(u *upstream)) {
+	for i := range b.shards {
+		s := &b.shards[i]
+		s.mu.Lock()
+		for _, u := range s.upstreams {
+			f(u)
+		}
+		s.mu.Unlock()
+	}
+}
+
 // Update sets the state of an upstream as control reports it. An entry that is older than
 // the known one is ignored.
 func (b *Balancer) Update(e coltsregistry.Entry) {
@@ -187,6 +199,7 @@
 	var all []candidate
 	var pausedUntil time.Time
 	known, preferred, lacking := 0, 0, 0
+	// Not by each: a call for each upstream makes a choice a tenth slower.
 	for i := range b.shards {
 		s := &b.shards[i]
 		s.mu.Lock()
@@ -375,16 +388,11 @@
 // Loads returns the load of this instance at each upstream where it has any.
 func (b *Balancer) Loads() []Load {
 	var loads []Load
-	for i := range b.shards {
-		s := &b.shards[i]
-		s.mu.Lock()
-		for id, u := range s.upstreams {
-			if u.load > 0 {
-				loads = append(loads, Load{Upstream: id, Amount: b.reportedLoad(u), HeardAt: u.heardAt, WaitingSince: u.waitingSince})
-			}
+	b.each(func(u *upstream) {
+		if u.load > 0 {
+			loads = append(loads, Load{Upstream: u.record.ID, Amount: b.reportedLoad(u), HeardAt: u.heardAt, WaitingSince: u.waitingSince})
 		}
-		s.mu.Unlock()
-	}
+	})
 	return loads
 }
 
@@ -396,14 +404,10 @@
 	for _, l := range loads {
 		amounts[l.Upstream] = l.Amount
 	}
-	for i := range b.shards {
-		s := &b.shards[i]
-		s.mu.Lock()
-		for id, u := range s.upstreams {
-			u.peerMean.add(amounts[id], now)
-			u.peerLoad, u.peerLoadUntil = amounts[id], now.Add(peerLoadTTL)
-		}
-		s.mu.Unlock()
-	}
+	b.each(func(u *upstream) {
+		amount := amounts[u.record.ID]
+		u.peerMean.add(amount, now)
+		u.peerLoad, u.peerLoadUntil = amount, now.Add(peerLoadTTL)
+	})
 	b.measureImbalance(now)
 }
--- a/coltsgateway/control_reply.go
+++ b/coltsgateway/control_reply.go
@@ -165,7 +165,9 @@
 	for _, e := range coltswire.DecodeRegistryEntries(reply.GetEntries(), now) {
 		w.listed[e.Upstream.ID] = time.Time{}
 		if e.Upstream.State == coltsregistry.StateGone {
-			w.listed[e.Upstream.ID] = now.Add(forgetGoneAfter)
+			// The registry says nothing when it drops an upstream. A control instance that is behind does not
+			// add this one again until then.
+			w.listed[e.Upstream.ID] = now.Add(coltsregistry.RetentionPeriod)
 		}
 		w.g.balancer.Update(e)
 		w.g.log.Info("An upstream changed.", coltslog.Fields{
--- a/coltsgateway/control_watch.go
+++ b/coltsgateway/control_watch.go
@@ -49,9 +49,6 @@
 	// forgetGrace is how long a registry must have been followed before upstreams missing from
 	// it are forgotten. It spans several of the upstreams' reports.
 	forgetGrace = 10 * time.Second
-	// forgetGoneAfter is how long an upstream that has left is kept, so that a control instance that is
-	// behind does not add it again. The registry keeps it as long, and says nothing when it drops it.
-	forgetGoneAfter = 2 * time.Minute
 )
 
 // controlWatcher follows control. Only its own loop writes to it.
--- a/coltsregistry/registry.go
+++ b/coltsregistry/registry.go
@@ -19,9 +19,9 @@
 )
 
 const (
-	// retentionPeriod is how long an upstream that left or stopped reporting stays in
+	// RetentionPeriod is how long an upstream that left or stopped reporting stays in
 	// the registry, so that delayed reports don't add it again.
-	retentionPeriod = 2 * time.Minute
+	RetentionPeriod = 2 * time.Minute
 	// stallThreshold is the interval between two sweeps above which this process itself
 	// is assumed to have been stalled.
 	stallThreshold = 2 * time.Second
@@ -121,7 +121,7 @@
 		rec.entry.Loading = false
 	}
 	rec.overdueAt = now.Add(r.cfg.SilentAfter)
-	rec.expiresAt = now.Add(retentionPeriod)
+	rec.expiresAt = now.Add(RetentionPeriod)
 	rec.entry.Upstream = u
 	if changed {
 		rec.entry.Silent = false
@@ -210,7 +210,7 @@
 	}
 	rec.entry.Upstream.State = state
 	rec.entry.Revision = r.revision.Add(1)
-	rec.expiresAt = now.Add(retentionPeriod)
+	rec.expiresAt = now.Add(RetentionPeriod)
 	s.entries[id] = rec
 	return true
 }
@@ -380,7 +380,7 @@
 		s.mu.Lock()
 		for id, rec := range s.entries {
 			rec.overdueAt = now.Add(r.cfg.SilentAfter)
-			rec.expiresAt = now.Add(retentionPeriod)
+			rec.expiresAt = now.Add(RetentionPeriod)
 			s.entries[id] = rec
 		}
 		s.mu.Unlock()
--- a/coltsregistry/registry_test.go
+++ b/coltsregistry/registry_test.go
@@ -183,7 +183,7 @@
 	t.Run("upstreams that no longer report are forgotten with their addresses", func(t *testing.T) {
 		r := newRegistry()
 		fill(t, r, false)
-		for at := time.Duration(0); at <= retentionPeriod; at += 100 * time.Millisecond {
+		for at := time.Duration(0); at <= RetentionPeriod; at += 100 * time.Millisecond {
 			r.Sweep(start.Add(at))
 		}
 		assertKept(t, r, 0)
@@ -191,22 +191,22 @@
 	t.Run("a mirror forgets upstreams that fell silent", func(t *testing.T) {
 		r := newRegistry()
 		fill(t, r, true)
-		r.SweepMirror(start.Add(retentionPeriod))
+		r.SweepMirror(start.Add(RetentionPeriod))
 		assertKept(t, r, 0)
 	})
 	t.Run("a mirror keeps upstreams that have not changed for long", func(t *testing.T) {
 		r := newRegistry()
 		fill(t, r, false)
-		r.SweepMirror(start.Add(100 * retentionPeriod))
+		r.SweepMirror(start.Add(100 * RetentionPeriod))
 		assertKept(t, r, 100)
 	})
 	t.Run("an address that another upstream has taken stays its own", func(t *testing.T) {
 		r := newRegistry()
 		assertAccepted(t, r, report("a", 0, 1, StateReady), true)
-		later := start.Add(retentionPeriod - time.Second)
+		later := start.Add(RetentionPeriod - time.Second)
 		_, err := r.Report(report("b", 1, 1, StateReady), later)
 		assert.NilError(t, err)
-		r.SweepMirror(later.Add(retentionPeriod))
+		r.SweepMirror(later.Add(RetentionPeriod))
 		assertKept(t, r, 1)
 	})
 }
--- a/coltsregistry/registry_warmup.go
+++ b/coltsregistry/registry_warmup.go
@@ -118,7 +118,7 @@
 // IsCold reports whether the upstream is cold.
 func (u Upstream) IsCold(now time.Time) bool { return now.Before(u.ColdUntil) }
 
-// coldChanged reports whether a new end of the cold time is news.
+// coldChanged reports whether a new end of the cold time counts as a change.
 func coldChanged(known, until, now time.Time) bool {
 	if known.Before(now) {
 		known = now
