Start the gateways of tests in one place

Three tests set the same addresses and started a gateway by themselves. Their assertions are unchanged. go test -race ./coltsgateway passes.

--- a/coltsgateway/caller_burst_test.go
+++ b/coltsgateway/caller_burst_test.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -20,8 +19,6 @@
 
 	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltsforward"
-	"coltsfootstall/coltslog"
-	"coltsfootstall/coltssettings"
 )
 
 // sendRequests sends n requests at once, each on a connection of its own, and returns how many got each
@@ -57,20 +54,15 @@
 
 func TestBurstBesideCrowd(t *testing.T) {
 	t.Run("ordinary requests at once beside a crowd of small unfinished ones", func(t *testing.T) {
-		settings := coltssettings.Default()
-		settings.MemoryMB = 1 // the least budget
-		anyPort := netip.MustParseAddrPort("127.0.0.1:0")
-		settings.Gateway.CallerAddr, settings.Gateway.ReadyAddr, settings.Gateway.OperatorAddr = anyPort, anyPort, anyPort
-		g := New(Config{Settings: settings, Log: coltslog.Discard(), Dialect: Dialect{
+		const leastBudget = 1 // megabytes
+		g := startTestGateway(t, leastBudget, Dialect{
 			// Whole requests get the status of this error.
 			ParseRequest: func(*fasthttp.RequestHeader) (coltsforward.InboundRequest, error) {
 				return coltsforward.InboundRequest{}, errors.New("test")
 			},
 			BuildErrorResponse: func(*coltsattempt.RefusedError, time.Time) ErrorResponse { return ErrorResponse{Status: 422} },
 			AppendErrorHeaders: func(dst []byte, _ ErrorResponse, _ string) []byte { return dst },
-		}})
-		assert.NilError(t, g.Start())
-		defer g.stop()
+		})
 		for range 900 {
 			nc, err := net.Dial("tcp", g.CallerAddr().String())
 			assert.NilError(t, err)
--- a/coltsgateway/caller_head_test.go
+++ b/coltsgateway/caller_head_test.go
@@ -40,6 +40,19 @@
 	return c.readBody(req, defaultLimits)
 }
 
+// startTestGateway starts a gateway on a machine of the given size, 0 for an unknown one. Control does not run.
+func startTestGateway(t *testing.T, memoryMB float64, dialect Dialect) *Gateway {
+	t.Helper()
+	settings := coltssettings.Default()
+	settings.MemoryMB = memoryMB
+	anyPort := netip.MustParseAddrPort("127.0.0.1:0")
+	settings.Gateway.CallerAddr, settings.Gateway.ReadyAddr, settings.Gateway.OperatorAddr = anyPort, anyPort, anyPort
+	g := New(Config{Settings: settings, Log: coltslog.Discard(), Dialect: dialect})
+	assert.NilError(t, g.Start())
+	t.Cleanup(g.stop)
+	return g
+}
+
 func TestLinesOfHeads(t *testing.T) {
 	const post = "POST / HTTP/1.1\r\nHost: h\r\n"
 	lines := func(n int) string { return strings.Repeat("a:\r\n", n) }
@@ -62,12 +75,7 @@
 		})
 	}
 	t.Run("the refusal is answered", func(t *testing.T) {
-		settings := coltssettings.Default()
-		anyPort := netip.MustParseAddrPort("127.0.0.1:0")
-		settings.Gateway.CallerAddr, settings.Gateway.ReadyAddr, settings.Gateway.OperatorAddr = anyPort, anyPort, anyPort
-		g := New(Config{Settings: settings, Log: coltslog.Discard()})
-		assert.NilError(t, g.Start())
-		defer g.stop()
+		g := startTestGateway(t, 0, Dialect{})
 		nc, err := net.Dial("tcp", g.CallerAddr().String())
 		assert.NilError(t, err)
 		defer func() { _ = nc.Close() }()
--- a/coltsgateway/caller_refused_test.go
+++ b/coltsgateway/caller_refused_test.go
@@ -7,26 +7,17 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"coltsfootstall/coltsbuffer"
-	"coltsfootstall/coltslog"
-	"coltsfootstall/coltssettings"
 )
 
 func TestRefusedConnection(t *testing.T) {
 	t.Run("a connection whose request was refused holds no body", func(t *testing.T) {
-		settings := coltssettings.Default()
-		settings.MemoryMB = 96
-		anyPort := netip.MustParseAddrPort("127.0.0.1:0")
-		settings.Gateway.CallerAddr, settings.Gateway.ReadyAddr, settings.Gateway.OperatorAddr = anyPort, anyPort, anyPort
-		g := New(Config{Settings: settings, Log: coltslog.Discard()})
-		assert.NilError(t, g.Start())
-		defer g.stop()
+		g := startTestGateway(t, 96, Dialect{})
 		nc, err := net.Dial("tcp", g.CallerAddr().String())
 		assert.NilError(t, err)
 		defer func() { _ = nc.Close() }()
