--- a/review/7/main.go
+++ b/review/10/main.go
@@ -1,11 +1,10 @@
 //go:build review
 
-// Case 7: a new config makes a tenant isolated that was not. Another tenant's request, sent long after the
+// Case 10: a new config makes a tenant isolated that was not. Another tenant's request, sent long after the
 // confirmation, gets KV cache that the isolated tenant's request made.
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -36,79 +35,15 @@
 
 var zones = []string{"aksaray", "konya", "tuzgolu"}
 
-// cache is the KV cache of a runner or a store: who made each part under each salt.
-type cache struct {
-	mu     sync.Mutex
-	parts  map[[2]string]string
-	events [][]any
-}
-
-func (c *cache) find(salt, part string) (maker string, found bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	maker, found = c.parts[[2]string{salt, part}]
-	return maker, found
-}
-
-// add keeps a part as it was first made.
-func (c *cache) add(salt, part, maker string, tokens int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	key := [2]string{salt, part}
-	if _, found := c.parts[key]; found {
-		return
-	}
-	if c.parts == nil {
-		c.parts = map[[2]string]string{}
-	}
-	c.parts[key] = maker
-	c.events = append(c.events, []any{len(c.events) + 1, "+", salt, part, tokens, model})
-}
-
-// serveStore answers the calls of control to a store.
-func (c *cache) serveStore(w http.ResponseWriter, q *http.Request) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	reply := map[string]any{"bootEpoch": 77120, "next": len(c.events) + 1, "clock_ms": float64(time.Now().UnixMicro()) / 1000}
-	switch q.URL.Path {
-	case "/v1/kv-list":
-		held := [][]any{}
-		for _, e := range c.events {
-			held = append(held, e[2:])
-		}
-		reply["held"], reply["partial"] = held, []any{}
-	case "/v1/kv-events":
-		since := 0
-		_, _ = fmt.Sscan(q.URL.Query().Get("since"), &since)
-		if since > len(c.events) {
-			c.mu.Unlock()
-			time.Sleep(300 * time.Millisecond)
-			c.mu.Lock()
-		}
-		events := [][]any{}
-		for _, e := range c.events {
-			if e[0].(int) >= since {
-				events = append(events, e)
-			}
-		}
-		reply["next"], reply["lost"], reply["events"] = len(c.events)+1, false, events
-	default:
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(reply)
-}
-
 // use is the use of a part that a request of another tenant made.
 type use struct{ id, tenant, maker, where, salt string }
 
 // engine is a runner's engine.
 type engine struct {
 	r     *rig2.Rig
-	store *cache
+	store *rig2.Cache
 	addr  string
-	own   cache
+	own   rig2.Cache
 	uses  *[]use
 	mu    *sync.Mutex
 }
@@ -125,11 +60,11 @@
 		tokens := 0
 		_, _ = fmt.Sscan(count, &tokens)
 		where, maker := "read anew", tenant
-		if m, found := e.own.find(salt, part); found {
-			where, maker = "the runner's cache", m
+		if m, found := e.own.Find(salt, part); found {
+			where, maker = "the runner's cache", m.Tenant
 		} else if i < len(fetch) && strings.HasPrefix(fetch[i], e.addr) {
-			if m, found := e.store.find(salt, part); found {
-				where, maker = "the store", m
+			if m, found := e.store.Find(salt, part); found {
+				where, maker = "the store", m.Tenant
 			}
 		}
 		e.r.Note("%s: request %s of %s, part %s under salt %q: %s, made by %s", h.Get("X-Coltsfootstall-Expect-Instance"), id, tenant, part, salt, where, maker)
@@ -138,9 +73,9 @@
 			*e.uses = append(*e.uses, use{id, tenant, maker, where, salt})
 			e.mu.Unlock()
 		}
-		e.own.add(salt, part, maker, tokens)
+		e.own.Add(salt, part, rig2.Made{Tenant: maker, Version: 1}, tokens)
 		if i < len(save) && save[i] == e.addr {
-			e.store.add(salt, part, maker, tokens)
+			e.store.Add(salt, part, rig2.Made{Tenant: maker, Version: 1}, tokens)
 		}
 	}
 	w.Header().Set("X-Coltsfootstall-Server-Seal", "3e1b.07."+id)
@@ -194,12 +129,12 @@
 			return false, err
 		}
 	}
-	store := &cache{}
+	store := &rig2.Cache{Model: model}
 	listener, err := net.Listen("tcp", r.RunnerIP(20)+":0")
 	if err != nil {
 		return false, err
 	}
-	go func() { _ = http.Serve(listener, http.HandlerFunc(store.serveStore)) }()
+	go func() { _ = http.Serve(listener, http.HandlerFunc(store.ServeStore)) }()
 	var uses []use
 	var mu sync.Mutex
 	for i, zone := range zones {
--- a/review/rig2/standin.go
+++ b/review/rig2/standin.go
@@ -13,6 +13,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -27,21 +28,28 @@
 	ID, Service, Zone, Addr string
 	Slots                   int
 	Model                   string
-	Serve                   http.HandlerFunc
+	// OnLoad is called when it has loaded weights, before it serves with them; nil for nothing.
+	OnLoad func()
+	Serve  http.HandlerFunc
 
 	rig      *Rig
 	born     int64
 	mu       sync.Mutex
 	state    string
 	sequence int
-	target   string
-	server   *http.Server
-	stop     context.CancelFunc
+	// version is that of its weights, loading is set while it loads others, orders counts those accepted.
+	version int
+	loading bool
+	orders  int
+	fence   int
+	target  string
+	server  *http.Server
+	stop    context.CancelFunc
 }
 
 // StartRunner starts a runner's server and its heartbeats.
 func (r *Rig) StartRunner(n *Runner) error {
-	n.rig, n.born, n.state = r, time.Now().UnixMilli(), "ready"
+	n.rig, n.born, n.state, n.version = r, time.Now().UnixMilli(), "ready", 1
 	l, err := net.Listen("tcp", n.Addr)
 	if err != nil {
 		return err
@@ -68,29 +76,109 @@
 	case "/health":
 	case "/v1/report":
 		w.Header().Set("Content-Type", "application/json")
-		fmt.Fprintf(w, `{"stage":"colocated","models":[{"name":%q,"version":1,"adapters":[]}],"busy":false,"sequence":0,`+
-			`"queued":0,"running":0,"kvUsed":0,"kvTotal":110016,"handles":0}`, n.Model)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		fmt.Fprintf(w, `{"stage":"colocated","models":[{"name":%q,"version":%d,"adapters":[]}],"busy":%v,"sequence":%d,`+
+			`"queued":0,"running":0,"kvUsed":0,"kvTotal":110016,"handles":0}`, n.Model, n.version, n.loading, n.orders)
+	case "/v1/order":
+		n.order(w, q)
 	default:
-		n.Serve(w, q)
+		n.mu.Lock()
+		loading, version := n.loading, n.version
+		n.mu.Unlock()
+		want := q.Header.Get("X-Coltsfootstall-Expect-Version")
+		switch {
+		case want != "" && want != strconv.Itoa(version):
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		case loading:
+			w.Header().Set("X-Coltsfootstall-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		default:
+			n.Serve(w, q)
+		}
+	}
+}
+
+// loadTime is how long the runner takes to load weights.
+const loadTime = 270 * time.Millisecond
+
+// Version returns the version of the weights that the runner has.
+func (n *Runner) Version() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.version
+}
+
+// order carries out an order to load weights.
+func (n *Runner) order(w http.ResponseWriter, q *http.Request) {
+	var o struct {
+		Version, FenceToken int
+		Expected            *int
+	}
+	if err := json.NewDecoder(q.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch {
+	case o.FenceToken < n.fence:
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	case n.loading || o.Expected != nil && *o.Expected != n.orders:
+		w.WriteHeader(http.StatusConflict)
+		return
+	case o.Version == n.version:
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	n.fence, n.loading = o.FenceToken, true
+	n.orders++
+	n.rig.Note("%s is ordered to load version %d", n.ID, o.Version)
+	time.AfterFunc(loadTime, func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.OnLoad != nil {
+			n.OnLoad()
+		}
+		n.version, n.loading = o.Version, false
+		n.rig.Note("%s has version %d", n.ID, o.Version)
+	})
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// heartbeat returns the next heartbeat. If own is false it is one of another writer, which repeats the
+// runner's newest one without the field models.
+func (n *Runner) heartbeat(own bool) []byte {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if own {
+		n.sequence++
+	}
+	body := map[string]any{
+		"service": n.Service, "address": n.Addr, "zone": n.Zone, "version": "v1", "slots": n.Slots, "state": n.state,
+		"coldLeftMs": 0, "sequence": n.sequence, "born": n.born,
 	}
+	if n.Model != "" && own {
+		body["stage"] = "colocated"
+		body["models"] = []any{map[string]any{"name": n.Model, "version": n.version, "adapters": []any{}}}
+	}
+	text, _ := json.Marshal(body)
+	return text
+}
+
+// WriteWithoutModels sends a heartbeat of another writer, without the field models, to a control instance.
+func (n *Runner) WriteWithoutModels(service string) error {
+	status, _, err := n.rig.Call(http.MethodPost, service, "/v1/instances/"+n.ID+"/heartbeat", n.heartbeat(false), callTimeout)
+	n.rig.Note("another writer sends a heartbeat of %s without models: %d", n.ID, status)
+	return err
 }
 
 // beat reports to control until ctx ends.
 func (n *Runner) beat(ctx context.Context) {
 	client := &http.Client{Timeout: callTimeout}
 	for i := 0; ctx.Err() == nil; i++ {
-		n.mu.Lock()
-		n.sequence++
-		body := map[string]any{
-			"service": n.Service, "address": n.Addr, "zone": n.Zone, "version": "v1", "slots": n.Slots, "state": n.state,
-			"coldLeftMs": 0, "sequence": n.sequence, "born": n.born,
-		}
-		n.mu.Unlock()
-		if n.Model != "" {
-			body["stage"] = "colocated"
-			body["models"] = []any{map[string]any{"name": n.Model, "version": 1, "adapters": []any{}}}
-		}
-		text, _ := json.Marshal(body)
+		text := n.heartbeat(true)
 		target := n.target
 		if target == "" {
 			services := n.rig.Services()
