--- a/review/10/main.go
+++ b/review/10/main.go
@@ -19,21 +19,21 @@
 const (
 	controls = 5
 	gateways = 2
-	service  = "kervan-lm"
-	keep     = "hafiza-a"
+	service  = "press-lm"
+	keep     = "prompt-keep-a"
 	host     = "desk.example"
 	model    = "daka510000"
 
-	// Bounds of the site tuzyolu-hq.
+	// Bounds of the site pos-seedpress.
 	apply   = 2000 * time.Millisecond
 	contact = 3000 * time.Millisecond
 
-	isolatedTenant, otherTenant = "salt-road", "depot"
+	isolatedTenant, otherTenant = "council", "school"
 	isolatedKey, otherKey       = "jnbanfqasnmgkcuyj8pj", "bvk9m68k7b2ex5wa5xwy"
 	sharedPart                  = "5c1e07a2"
 )
 
-var zones = []string{"aksaray", "konya", "tuzgolu"}
+var zones = []string{"laventille", "st-james", "belmont"}
 
 // use is the use of a part that a request of another tenant made.
 type use struct{ id, tenant, maker, where, salt string }
@@ -87,8 +87,8 @@
 func config(version int, isolated bool, storeText string) []byte {
 	return []byte(fmt.Sprintf(`{"version":%d,"routes":[{"name":"r-manifest","host":%q,"pathPrefix":"/draft/","kind":"streaming",`+
 		`"timeoutMs":10000,"goalMs":600,"priority":2,"service":%q,"maxAttempts":1,"public":false,"sticky":true,"resumable":false,"gapGoalMs":300}],`+
-		`"services":[{"name":%q,"kvStoreAddr":%q,"zone":"konya","kvCapacity":198679,"linkMbps":1500000.0,"maxInflight":12,"managed":true,"first_ms":0.5},`+
-		`{"name":%q,"healthPath":"/health","maxConns":310,"protocol":"h1","tls":false,"engine":{"slots":48,"kvCapacity":110016,"tokenKvBytes":131072,`+
+		`"services":[{"name":%q,"kvStoreAddr":%q,"zone":"st-james","kvCapacity":198679,"linkMbps":1500000.0,"maxInflight":12,"managed":true,"first_ms":0.5},`+
+		`{"name":%q,"healthPath":"/health","maxConns":290,"protocol":"h1","tls":false,"engine":{"slots":48,"kvCapacity":109648,"tokenKvBytes":131072,`+
 		`"linkMbps":260000.0,"moves":true,"backups":true,"managed":true,"stride":9,"maxInflight":12,"pinMs":4000.0,"holdMs":2000.0,"handle_s":5.0,`+
 		`"models":[{"name":%q}]}}],`+
 		`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},`+
@@ -192,8 +192,8 @@
 
 func main() {
 	r, err := rig2.New(os.Args[1], controls, rig2.Bounds{
-		LeaseMs: 3000, VersionMs: 6000, RetryRatio: 0.2, RetrySlack: 58, RetryWindowS: 10, GraceS: 8,
-		FrontMemoryMb: 134, CoreMemoryMb: 280,
+		LeaseMs: 3000, VersionMs: 6000, RetryRatio: 0.2, RetrySlack: 52, RetryWindowS: 10, GraceS: 8,
+		FrontMemoryMb: 284, CoreMemoryMb: 280,
 	})
 	if err != nil {
 		fmt.Println(err)
