Read upstreams' responses at gateways by the grammar of HTTP/1.1

Cause: fasthttp's parser alone decided what a response is, and it reads more than the grammar. It takes any three digits for a status and returns 200 for a status of 0, keeps blanks within names and strips those behind them, and accepts bare line feeds, empty first lines, HTTP/2.0 in the status line, and HTTP/1.0 with a transfer coding, whose chunks it takes for the body. The status below 200 also made the gateway skip such a head as an interim one. Chunks went through net/http/httputil, which accepts blanks and words behind a chunk's length and bare line feeds, and trailers were not checked at all.

Change: coltsresponse decides what is readable, by RFC 9112 (status line, fields, framing, chunks, trailers) and RFC 9110 (100 to 599). It checks a head in the connection's buffer before fasthttp parses it, computes the framing itself, and gives up at the first wrong byte, so that a caller isn't kept waiting for the end of what can't be an answer. An unreadable response is a failed attempt whose request was sent: no retry on unsafe and streaming routes, the connection is closed, the caller gets 502 at once or, behind events, a truncated stream. The line "An attempt failed." names the part and the byte; new metrics answers-unreadable and answers-interrupted. A blank before the colon is refused too, though RFC 9112 would have proxies remove it: parsers differ on what such a line frames.

Control bytes in names were refused before, but not counted. FuzzReadHead compares the check with a regular expression of the grammar, FuzzChunks with the standard library. FuzzBody moved to coltsresponse with the code; what it did with the ends of events is FuzzEvents.

--- a/coltsgateway/caller_body.go
+++ b/coltsgateway/caller_body.go
@@ -23,6 +23,12 @@
 	maxChunkDigits = 15
 )
 
+// Values that fasthttp reports as the content length of a body without one.
+const (
+	framingChunked    = -1
+	framingUntilClose = -2
+)
+
 // bodyReader reads one body.
 type bodyReader struct {
 	br *bufio.Reader
--- a/coltsgateway/forward_buffered.go
+++ b/coltsgateway/forward_buffered.go
@@ -16,7 +16,7 @@
 
 // forwardBuffered passes on a response after reading all of it.
 func (f *forwarding) forwardBuffered(x *exchange) *attemptError {
-	content, err := x.body.readAll(maxBufferedBytes, f.buffered)
+	content, err := x.body.ReadAll(maxBufferedBytes, f.buffered.Grow)
 	if err != nil {
 		f.countExhausted(err)
 		return x.readFailure(coltsattempt.PhaseSent, err)
--- a/coltsgateway/forward_stream.go
+++ b/coltsgateway/forward_stream.go
@@ -18,6 +18,7 @@
 	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltsbalance"
 	"coltsfootstall/coltsmetric"
+	"coltsfootstall/coltsresponse"
 )
 
 const (
@@ -60,7 +61,7 @@
 // ends with its connection as a stream may. A message without a type that has a length or chunks need
 // not be one.
 func (s *eventStream) isEvents() bool {
-	return len(s.x.resp.ContentType()) > 0 || s.f.eventReads > 0 || s.x.body.framing == framingUntilClose
+	return len(s.x.resp.ContentType()) > 0 || s.f.eventReads > 0 || s.x.body.Framing() == coltsresponse.FramingUntilClose
 }
 
 // errCallerDisconnected reports that the caller closed its connection.
--- a/coltsgateway/upstream_exchange.go
+++ b/coltsgateway/upstream_exchange.go
@@ -18,7 +18,9 @@
 	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltsbalance"
 	"coltsfootstall/coltsbuffer"
+	"coltsfootstall/coltsmetric"
 	"coltsfootstall/coltspool"
+	"coltsfootstall/coltsresponse"
 )
 
 const (
@@ -27,8 +29,6 @@
 	maxStrayResponses = 2
 	// maxStrayBytes bounds the body of such a response.
 	maxStrayBytes = 1 << 20
-	// maxInterimResponses bounds the interim (1xx) responses that are skipped before a response.
-	maxInterimResponses = 8
 	// maxBufferedBytes bounds a response that is buffered in full before it is passed on.
 	maxBufferedBytes = 8 << 20
 	// idleTimeoutMargin is subtracted from the idle timeout that an upstream announces for a
@@ -65,7 +65,7 @@
 	conn   *coltspool.Conn
 	resp   *fasthttp.ResponseHeader
 	meta   ResponseMetadata
-	body   *body
+	body   *coltsresponse.Body
 	// stop cancels the function that closes the connection when ctx ends.
 	stop func() bool
 	// reusable is set if the connection can serve another request once the body has been read
@@ -188,39 +188,35 @@
 			return newAttemptError(coltsattempt.PhaseSent, coltsbalance.OutcomeFailed,
 				"upstream %s answered only other requests", x.choice.Upstream.ID)
 		}
-		if err := x.body.discard(maxStrayBytes); err != nil || x.body.framing == framingUntilClose {
+		err := x.body.Discard(maxStrayBytes)
+		if err == nil && !x.body.Reusable() {
+			err = errors.New("it ends with the connection")
+		}
+		if err != nil {
+			x.countUnreadable(err)
 			return newAttemptError(coltsattempt.PhaseSent, coltsbalance.OutcomeFailed,
-				"upstream %s answered request %s instead, and the body could not be skipped",
-				x.choice.Upstream.ID, x.meta.RequestID)
+				"upstream %s answered request %s instead, and the body could not be skipped: %v",
+				x.choice.Upstream.ID, x.meta.RequestID, err)
 		}
 	}
 }
 
-// readHead reads one head, skipping interim (1xx) responses.
+// readHead reads the next head that is not interim (1xx).
 func (x *exchange) readHead(out outgoingRequest) *attemptError {
-	for interim := 0; ; interim++ {
-		x.resp.Reset()
-		x.resp.DisableNormalizing()
-		x.resp.SetNoDefaultContentType(true)
-		if err := x.resp.Read(x.conn.Reader); err != nil {
-			return x.readFailure(coltsattempt.PhaseSent, err)
-		}
+	x.resp.Reset()
+	x.resp.DisableNormalizing()
+	x.resp.SetNoDefaultContentType(true)
+	framing, err := coltsresponse.ReadHead(x.conn.Reader, x.resp, func() {
 		x.meta = x.g.dialect.ParseResponse(x.resp)
 		x.recordLeaving()
-		if x.resp.StatusCode() >= fasthttp.StatusOK {
-			break
-		}
-		if interim == maxInterimResponses {
-			return newAttemptError(coltsattempt.PhaseSent, coltsbalance.OutcomeFailed,
-				"upstream %s sent more than %d interim responses", x.choice.Upstream.ID, maxInterimResponses)
-		}
+	})
+	if err != nil {
+		return x.readFailure(coltsattempt.PhaseSent, err)
 	}
-	framing := x.resp.ContentLength()
-	status := x.resp.StatusCode()
-	if out.noBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+	if out.noBody {
 		framing = 0
 	}
-	x.body = newBody(x.conn.Reader, framing)
+	x.body = coltsresponse.NewBody(x.conn.Reader, framing)
 	return nil
 }
 
@@ -235,12 +231,28 @@
 		return newAttemptError(phase, coltsbalance.OutcomeAnswered,
 			"the response from %s can't be buffered: %v", x.choice.Upstream.ID, err)
 	}
+	if x.countUnreadable(err) {
+		return newAttemptError(phase, x.connectionOutcome(),
+			"the response from %s can't be read: %v", x.choice.Upstream.ID, err)
+	}
 	f := newAttemptError(phase, x.connectionOutcome(),
 		"response from %s was interrupted: %v", x.choice.Upstream.ID, err)
 	f.connectionLost = isDisconnect(err)
+	if f.connectionLost && x.ctx.Err() == nil {
+		x.g.metrics.Add(coltsmetric.InterruptedAnswers, 1)
+	}
 	return f
 }
 
+// countUnreadable reports whether err is due to a response that is not HTTP/1.1, and counts it then.
+func (x *exchange) countUnreadable(err error) bool {
+	unreadable := coltsresponse.IsUnreadable(err)
+	if unreadable {
+		x.g.metrics.Add(coltsmetric.UnreadableAnswers, 1)
+	}
+	return unreadable
+}
+
 // checkHead returns a failure if the response's head shows that the attempt failed.
 func (x *exchange) checkHead() *attemptError {
 	id := x.choice.Upstream.ID
@@ -270,18 +282,18 @@
 // discardBuffered consumes a short body that is buffered already, such as that of a refusal,
 // so that the connection can be reused.
 func (x *exchange) discardBuffered() {
-	if x.body == nil || x.body.framing < 0 || x.conn.Reader.Buffered() < x.body.remaining {
+	if x.body == nil || x.body.Framing() < 0 || x.conn.Reader.Buffered() < x.body.Remaining() {
 		return
 	}
-	_, err := x.conn.Reader.Discard(x.body.remaining)
-	x.body.complete = err == nil
+	// The bytes are there, so this neither waits nor fails.
+	_ = x.body.Discard(x.body.Remaining())
 }
 
 // close ends the exchange. The connection is kept only if the response was read to its end.
 func (x *exchange) close() {
 	stopped := x.stop()
 	x.discardBuffered()
-	if !stopped || !x.reusable || x.body == nil || !x.body.complete || x.body.framing == framingUntilClose {
+	if !stopped || !x.reusable || x.body == nil || !x.body.Reusable() {
 		x.g.pool.Drop(x.conn)
 		return
 	}
--- a/coltsmetric/metric_table.go
+++ b/coltsmetric/metric_table.go
@@ -27,6 +27,8 @@
 	Retries                = Metric{"retries", "attempts", "attempts after the first one"}
 	Resumes                = Metric{"resumes", "attempts", "streams resumed on another upstream"}
 	WrongRequestIDs        = Metric{"answers-crossed", "answers", "answers dropped because they carried another request's identity"}
+	UnreadableAnswers      = Metric{"answers-unreadable", "answers", "answers dropped because they were not HTTP/1.1; the log says what was wrong"}
+	InterruptedAnswers     = Metric{"answers-interrupted", "answers", "answers whose connection ended before they did"}
 	SilentConnections      = Metric{"connections-silent", "connections", "connections found silent and replaced"}
 	StreamedParts          = Metric{"tokens", "tokens", "streamed parts passed on to callers"}
 	TokensComputed         = Metric{"tokens-computed", "tokens", "prompt tokens that upstreams computed"}
@@ -73,7 +75,8 @@
 
 // allMetrics holds all metrics in the order in which they are listed.
 var allMetrics = []Metric{
-	Requests, Refused, RequestsUnderWay, CallerDisconnects, Attempts, Retries, Resumes, WrongRequestIDs, SilentConnections,
+	Requests, Refused, RequestsUnderWay, CallerDisconnects, Attempts, Retries, Resumes, WrongRequestIDs,
+	UnreadableAnswers, InterruptedAnswers, SilentConnections,
 	StreamedParts, TokensComputed, TokensReused, FirstTokenMicros, FirstTokens, Lookups, Exports, ExportsFailed,
 	Announcements, UntrustedAnnouncements, Upstreams, CacheEvents, Grants, Replays, SettleRetries, Revision, LastContactMillis,
 	RoutesVersion, WatchFailures, RefusedNotRun, FailedUnknown, StreamsBroken, RequestsAtHome, ChoicesCompared, ChoicesOverloaded, Panics, BuffersExhausted, BodiesRefused, ConnectionsShed, PartsBlocked, UpstreamsLeft, Pauses,
