Read upstreams' answers at the entry and the order loop by the grammar

An answer with status 000 came as the answer of a call or prompt, and one with a blank in a name too; the call was recorded as run with that answer. A health answer of that kind was taken as proof that an idle connection works, also before a call that may not be repeated.

Cause: coltsupstream read heads and bodies with fasthttp, which accepts more than the grammar and skips only some interim heads.

Change: coltsupstream reads by coltsresponse: prompts, calls, lookups, exports, orders, cancellations and health answers. After a health answer the connection is used only if the answer has ended and does not announce a close. OnBrokenAnswer reports what can't be read or was interrupted; the entry counts it and logs "An upstream's answer was broken." with the cause, the order loop counts it beside its own line.

--- a/coltscontrol/control.go
+++ b/coltscontrol/control.go
@@ -31,6 +31,7 @@
 	"coltsfootstall/coltsmetric"
 	"coltsfootstall/coltspoison"
 	"coltsfootstall/coltsregistry"
+	"coltsfootstall/coltsresponse"
 	"coltsfootstall/coltsroute"
 	"coltsfootstall/coltssettings"
 	"coltsfootstall/coltsstate"
@@ -280,6 +281,15 @@
 // Metrics returns the instance's metrics.
 func (c *Control) Metrics() *coltsmetric.Set { return c.metrics }
 
+// countUnreadable reports whether err is due to an answer that is not HTTP/1.1, and counts it then.
+func (c *Control) countUnreadable(err error) bool {
+	unreadable := coltsresponse.IsUnreadable(err)
+	if unreadable {
+		c.metrics.Add(coltsmetric.UnreadableAnswers, 1)
+	}
+	return unreadable
+}
+
 // CountPanic counts an unexpected error that ended a call or a step of a loop.
 func (c *Control) CountPanic() { c.metrics.Add(coltsmetric.Panics, 1) }
 
--- a/coltscontrol/order_loop.go
+++ b/coltscontrol/order_loop.go
@@ -8,6 +8,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -59,6 +60,7 @@
 		planner: coltsorder.NewPlanner(coltsorder.Config{MaxLoading: c.settings.MaxLoading}),
 		client: coltsupstream.New(coltsupstream.Config{
 			Now: c.cfg.Now, SilenceTimeout: coltsorder.OrderTimeout, ProbeTimeout: fleetTimeout,
+			OnBrokenAnswer: func(_ netip.AddrPort, err error) { c.countUnreadable(err) },
 		}),
 		httpClient: coltslink.NewClient(coltslink.Config{}),
 		pool:       pond.NewPool(c.settings.MaxLoading),
--- a/coltsentry/entry.go
+++ b/coltsentry/entry.go
@@ -30,6 +30,7 @@
 	"coltsfootstall/coltsobjective"
 	"coltsfootstall/coltsorganisation"
 	"coltsfootstall/coltsrequest"
+	"coltsfootstall/coltsresponse"
 	"coltsfootstall/coltsrouting"
 	"coltsfootstall/coltssettings"
 	"coltsfootstall/coltsupstream"
@@ -168,9 +169,20 @@
 		ProbeTimeout:     e.settings.ProbeTimeout,
 		OnUnresponsive:   func(netip.AddrPort) { e.metrics.Add(coltsmetric.SilentConnections, 1) },
 		OnWrongRequestID: func(netip.AddrPort) { e.metrics.Add(coltsmetric.WrongRequestIDs, 1) },
+		OnBrokenAnswer:   e.recordBrokenAnswer,
 	})
 }
 
+// recordBrokenAnswer counts and logs an upstream's answer that is not HTTP/1.1 or was interrupted.
+func (e *Entry) recordBrokenAnswer(upstream netip.AddrPort, err error) {
+	metric := coltsmetric.InterruptedAnswers
+	if coltsresponse.IsUnreadable(err) {
+		metric = coltsmetric.UnreadableAnswers
+	}
+	e.metrics.Add(metric, 1)
+	e.log.Info("An upstream's answer was broken.", coltslog.Fields{"address": upstream, "cause": err})
+}
+
 func (e *Entry) id() coltsidentity.Instance {
 	return coltsidentity.Instance(e.cfg.Settings.Instance)
 }
--- a/coltsupstream/upstream_client.go
+++ b/coltsupstream/upstream_client.go
@@ -26,6 +26,7 @@
 	"coltsfootstall/coltscodec"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltspool"
+	"coltsfootstall/coltsresponse"
 )
 
 // deadlineStepsPerTimeout limits how often a connection's read deadline is extended: at most
@@ -58,6 +59,9 @@
 	// OnWrongRequestID is called with the upstream's address for each response that carries
 	// the ID of another request; nil for none.
 	OnWrongRequestID func(addr netip.AddrPort)
+	// OnBrokenAnswer is called with the upstream's address and the cause for each response that is not HTTP/1.1
+	// (coltsresponse.UnreadableError) or whose connection ended before it did; nil for none.
+	OnBrokenAnswer func(addr netip.AddrPort, err error)
 }
 
 // Client sends requests to upstreams. It is safe for concurrent use.
@@ -77,13 +81,18 @@
 	if cfg.OnWrongRequestID == nil {
 		cfg.OnWrongRequestID = func(netip.AddrPort) {}
 	}
-	return &Client{cfg: cfg, pool: coltspool.New(coltspool.Config{
+	if cfg.OnBrokenAnswer == nil {
+		cfg.OnBrokenAnswer = func(netip.AddrPort, error) {}
+	}
+	c := &Client{cfg: cfg}
+	c.pool = coltspool.New(coltspool.Config{
 		Dial:           cfg.Dial,
 		Now:            cfg.Now,
-		Probe:          probe,
+		Probe:          c.probe,
 		ProbeTimeout:   cfg.ProbeTimeout,
 		OnUnresponsive: cfg.OnUnresponsive,
-	})}
+	})
+	return c
 }
 
 // Close closes the idle connections. Running requests are not affected.
@@ -153,14 +162,14 @@
 	ctx    context.Context
 	conn   *coltspool.Conn
 	req    Request
-	resp   *fasthttp.Response
+	head   *fasthttp.ResponseHeader
+	// body is the body of the response; nil until its head has been read.
+	body *coltsresponse.Body
 	// stop cancels the function that closes the connection when ctx ends. It returns false
 	// if that function has been started.
 	stop func() bool
 	// readDeadline is the current read deadline of the connection.
 	readDeadline time.Time
-	// complete is set once the response was read to its end.
-	complete bool
 }
 
 // begin sends a request and reads the status and headers of the response. If the Failure is
@@ -170,7 +179,7 @@
 	if err != nil {
 		return nil, newFailure(coltsattempt.PhaseUnsent, false, "upstream %s can't be reached: %v", r.Addr, err)
 	}
-	x := &exchange{client: c, ctx: ctx, conn: conn, req: r, resp: fasthttp.AcquireResponse()}
+	x := &exchange{client: c, ctx: ctx, conn: conn, req: r, head: &fasthttp.ResponseHeader{}}
 	x.stop = context.AfterFunc(ctx, func() { c.pool.Drop(conn) })
 	if failure := x.send(); failure != nil {
 		x.close()
@@ -217,16 +226,16 @@
 // readHead reads the status and headers and checks that the response belongs to the
 // request.
 func (x *exchange) readHead() *Failure {
-	x.resp.StreamBody = true
 	x.extendReadDeadline()
-	err := x.resp.ReadLimitBody(x.conn.Reader, 0)
+	framing, err := coltsresponse.ReadHead(x.conn.Reader, x.head, nil)
 	if err != nil {
 		return x.readFailure(coltsattempt.PhaseSent, err)
 	}
-	if !x.matchesID(string(x.resp.Header.Peek(coltscodec.HeaderRequest))) {
+	x.body = coltsresponse.NewBody(x.conn.Reader, framing)
+	if !x.matchesID(string(x.head.Peek(coltscodec.HeaderRequest))) {
 		return x.mismatchFailure()
 	}
-	if string(x.resp.Header.Peek(coltscodec.HeaderOutcome)) == string(coltsattempt.OutcomeNotRun) {
+	if string(x.head.Peek(coltscodec.HeaderOutcome)) == string(coltsattempt.OutcomeNotRun) {
 		return x.refusalFailure()
 	}
 	return nil
@@ -249,10 +258,10 @@
 // run.
 func (x *exchange) refusalFailure() *Failure {
 	f := newFailure(coltsattempt.PhaseRefused, false,
-		"upstream %s refused the request with status %d", x.req.Addr, x.resp.StatusCode())
-	f.Permanent = x.resp.StatusCode() < fasthttp.StatusInternalServerError &&
-		x.resp.StatusCode() != fasthttp.StatusTooManyRequests
-	if pause := coltscodec.ParseRetryAfter(string(x.resp.Header.Peek(fasthttp.HeaderRetryAfter))); pause > 0 {
+		"upstream %s refused the request with status %d", x.req.Addr, x.head.StatusCode())
+	f.Permanent = x.head.StatusCode() < fasthttp.StatusInternalServerError &&
+		x.head.StatusCode() != fasthttp.StatusTooManyRequests
+	if pause := coltscodec.ParseRetryAfter(string(x.head.Peek(fasthttp.HeaderRetryAfter))); pause > 0 {
 		f.RetryAt = x.client.cfg.Now().Add(pause)
 	}
 	return f
@@ -283,6 +292,12 @@
 		x.client.pool.MarkUnresponsive(x.req.Addr)
 		return newFailure(phase, x.hasCrashed(), "timed out waiting for data from upstream %s", x.req.Addr)
 	}
+	if x.ctx.Err() == nil {
+		x.client.cfg.OnBrokenAnswer(x.req.Addr, err)
+	}
+	if coltsresponse.IsUnreadable(err) {
+		return newFailure(phase, false, "the response of upstream %s can't be read: %v", x.req.Addr, err)
+	}
 	return newFailure(phase, x.hasCrashed(), "reading the response of upstream %s failed: %v", x.req.Addr, err)
 }
 
@@ -299,20 +314,15 @@
 	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, fasthttp.ErrTimeout)
 }
 
-// close releases the response and the connection. The connection returns to the pool only if
-// the response was read to its end, the context has not ended and the upstream keeps the
-// connection open.
+// close releases the connection. It returns to the pool only if the response was read to its end, the context
+// has not ended and the upstream keeps the connection open.
 func (x *exchange) close() {
 	stopped := x.stop()
-	// Closing a body that was read to its end reads nothing more from the connection.
-	if x.complete && stopped && !x.resp.ConnectionClose() {
-		_ = x.resp.CloseBodyStream()
+	if stopped && x.body != nil && x.body.Reusable() && !x.head.ConnectionClose() {
 		x.client.pool.Put(x.conn)
-	} else {
-		x.client.pool.Drop(x.conn)
-		_ = x.resp.CloseBodyStream()
+		return
 	}
-	fasthttp.ReleaseResponse(x.resp)
+	x.client.pool.Drop(x.conn)
 }
 
 // Do sends a request and reads the complete response.
@@ -327,8 +337,8 @@
 		return Answer{}, failure
 	}
 	return Answer{
-		Status:      x.resp.StatusCode(),
-		ContentType: string(x.resp.Header.ContentType()),
+		Status:      x.head.StatusCode(),
+		ContentType: string(x.head.ContentType()),
 		Body:        body,
 	}, nil
 }
@@ -337,17 +347,12 @@
 // deadline.
 func (x *exchange) readBody() ([]byte, *Failure) {
 	var body []byte
-	stream := x.resp.BodyStream()
-	if stream == nil {
-		x.complete = true
-		return x.resp.Body(), nil
-	}
 	buffer := make([]byte, coltspool.BufferBytes)
 	share := x.client.cfg.Buffers.NewShare()
 	defer share.Release()
 	for len(body) <= maxAnswerBytes {
 		x.extendReadDeadline()
-		n, err := stream.Read(buffer)
+		n, err := x.body.Read(buffer)
 		// Growing a slice at most doubles its memory.
 		if growErr := share.Grow(2 * (len(body) + n)); growErr != nil {
 			return nil, newFailure(coltsattempt.PhaseSent, false,
@@ -355,7 +360,6 @@
 		}
 		body = append(body, buffer[:n]...)
 		if isEnd(err) {
-			x.complete = true
 			return body, nil
 		}
 		if err != nil {
@@ -365,22 +369,45 @@
 	return nil, newFailure(coltsattempt.PhaseSent, false, "response of upstream %s is too long", x.req.Addr)
 }
 
-// probe sends a health request over an idle connection and reads the response.
-func probe(c *coltspool.Conn, deadline time.Time) error {
+// maxHealthBytes bounds the body of a health response.
+const maxHealthBytes = 64 << 10
+
+// probe sends a health request over an idle connection and reads the response, after which the connection can
+// carry another request.
+func (c *Client) probe(conn *coltspool.Conn, deadline time.Time) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI(coltscodec.PathHealth)
-	req.Header.SetHost(c.Addr.String())
-	if err := c.SetDeadline(deadline); err != nil {
+	req.Header.SetHost(conn.Addr.String())
+	if err := conn.SetDeadline(deadline); err != nil {
 		return errors.Wrap(err, "set deadline")
 	}
-	if err := req.Write(c.Writer); err != nil {
+	if err := req.Write(conn.Writer); err != nil {
 		return errors.Wrap(err, "write probe")
 	}
-	if err := c.Writer.Flush(); err != nil {
+	if err := conn.Writer.Flush(); err != nil {
 		return errors.Wrap(err, "write probe")
 	}
-	return errors.Wrap(resp.Read(c.Reader), "read probe response")
+	err := readHealth(conn)
+	if coltsresponse.IsUnreadable(err) {
+		c.cfg.OnBrokenAnswer(conn.Addr, err)
+	}
+	return errors.Wrap(err, "read probe response")
+}
+
+// readHealth reads a health response whole.
+func readHealth(conn *coltspool.Conn) error {
+	var head fasthttp.ResponseHeader
+	framing, err := coltsresponse.ReadHead(conn.Reader, &head, nil)
+	if err != nil {
+		return err
+	}
+	body := coltsresponse.NewBody(conn.Reader, framing)
+	if err := body.Discard(maxHealthBytes); err != nil {
+		return err
+	}
+	if !body.Reusable() || head.ConnectionClose() {
+		return errors.New("the upstream closes the connection")
+	}
+	return nil
 }
--- a/coltsupstream/upstream_stream.go
+++ b/coltsupstream/upstream_stream.go
@@ -75,12 +75,12 @@
 	if failure != nil {
 		return nil, failure
 	}
-	if x.resp.StatusCode() != fasthttp.StatusOK || x.resp.BodyStream() == nil {
+	if x.head.StatusCode() != fasthttp.StatusOK {
 		defer x.close()
 		return nil, x.statusFailure()
 	}
 	return &Stream{
-		x: x, br: bufio.NewReaderSize(x.resp.BodyStream(), coltspool.BufferBytes), id: []byte(r.ID.String()),
+		x: x, br: bufio.NewReaderSize(x.body, coltspool.BufferBytes), id: []byte(r.ID.String()),
 	}, nil
 }
 
@@ -92,15 +92,15 @@
 		return failure
 	}
 	f := newFailure(coltsattempt.PhaseSent, false, "upstream %s answered status %d: %s",
-		x.req.Addr, x.resp.StatusCode(), bytes.TrimSpace(body))
-	f.Permanent = x.resp.StatusCode() < fasthttp.StatusInternalServerError
+		x.req.Addr, x.head.StatusCode(), bytes.TrimSpace(body))
+	f.Permanent = x.head.StatusCode() < fasthttp.StatusInternalServerError
 	return f
 }
 
 // QueuedTokens returns the number of tokens that the runner reported as queued ahead of the
 // request, and whether it reported a number.
 func (s *Stream) QueuedTokens() (int64, bool) {
-	n, err := strconv.ParseInt(string(s.x.resp.Header.Peek(coltscodec.HeaderQueued)), 10, 64)
+	n, err := strconv.ParseInt(string(s.x.head.Peek(coltscodec.HeaderQueued)), 10, 64)
 	return n, err == nil
 }
 
@@ -190,8 +190,7 @@
 // the end of the body is not reused.
 func (s *Stream) drain() {
 	_ = s.x.conn.SetReadDeadline(s.x.client.cfg.Now().Add(drainTimeout)) // the read below reports a closed connection
-	_, err := io.CopyN(io.Discard, s.br, maxDrainBytes)
-	s.x.complete = isEnd(err)
+	_, _ = io.CopyN(io.Discard, s.br, maxDrainBytes)                     // the body knows whether it has ended
 }
 
 // drainTimeout bounds the wait for the end of the body after the final event.
