--- a/coltscontrol/stores_loop.go
+++ b/coltscontrol/stores_loop.go
@@ -172,6 +172,8 @@
 	bootEpoch uint64
 	nextEvent uint64
 	listed    bool
+	// unreadable is set while the store's answers are not HTTP/1.1.
+	unreadable bool
 	// nextInspection is when the store is next listed to find incomplete parts.
 	nextInspection time.Time
 	// clock is the time on the store's clock in its last answer, clockReadAt when that answer was
@@ -199,6 +201,7 @@
 		f.handleFailure(ctx, err)
 		return
 	}
+	f.unreadable = false
 	f.retire(ctx)
 	f.inspect(ctx)
 }
@@ -285,10 +288,11 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if f.listed {
+	unreadable := f.c.countUnreadable(err)
+	if f.listed || unreadable && !f.unreadable {
 		f.c.log.Warn("A store did not answer.", coltslog.Fields{"store": f.name, "address": f.store.Addr, "error": err})
 	}
-	f.listed = false
+	f.listed, f.unreadable = false, unreadable
 	f.c.catalogue.MarkFailed(f.name, f.c.cfg.Now())
 	coltsloop.Sleep(ctx, storeRetryDelay)
 }
@@ -316,6 +320,7 @@
 	listCtx, cancel := context.WithTimeout(ctx, eventsTimeout)
 	defer cancel()
 	update, err := f.c.cfg.Stores.List(listCtx, f.store.Addr)
+	f.c.countUnreadable(err)
 	if err != nil || update.BootEpoch != f.bootEpoch {
 		f.c.log.Warn("A store could not be checked for incomplete parts.", coltslog.Fields{
 			"store": f.name, "boot": update.BootEpoch, "error": err,
@@ -340,6 +345,7 @@
 		return
 	}
 	if err := f.c.cfg.Stores.Free(ctx, f.store.Addr, order); err != nil {
+		f.c.countUnreadable(err)
 		fields["error"] = err
 		f.c.log.Warn("Parts of a store could not be freed.", fields)
 		f.listed = false
--- a/coltscontrol/weights_loop.go
+++ b/coltscontrol/weights_loop.go
@@ -149,6 +149,7 @@
 	}
 	if r.err != nil {
 		fields["error"] = r.err
+		l.c.countUnreadable(r.err)
 	}
 	if r.task.Kind == coltsweights.TaskOrder {
 		l.rollout.RecordOrder(r.task, r.err, now)
