Read gateways' answers to "explain" by the grammar

What operators would have seen: an explanation from an answer with a blank in a name, a folded or bare line feed, or behind an interim head outside the grammar.

Cause: the command read the answer with net/http, which accepts these.

Change: it uses coltsresponse.Transport. Its error names the status as a number, without the phrase.

--- a/coltscommand/command_explain.go
+++ b/coltscommand/command_explain.go
@@ -8,15 +8,16 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"net/netip"
 	"strings"
 	"text/tabwriter"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
+	"github.com/valyala/fasthttp"
 
 	"coltsfootstall/coltsgateway"
+	"coltsfootstall/coltsresponse"
 )
 
 // maxExplanationBytes bounds the answer of a gateway: some hundred bytes for each upstream.
@@ -87,21 +88,21 @@
 func askForExplanation(ctx context.Context, addr netip.AddrPort, head string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr.String()+coltsgateway.ExplainPath, strings.NewReader(head))
-	if err != nil {
-		return nil, err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
+	client := fasthttp.Client{Transport: coltsresponse.Transport{}, MaxResponseBodySize: maxExplanationBytes}
+	defer client.CloseIdleConnections()
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + addr.String() + coltsgateway.ExplainPath)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetBodyString(head)
+	deadline, _ := ctx.Deadline()
+	if err := client.DoDeadline(req, resp, deadline); err != nil {
 		return nil, errors.Wrap(err, "ask the gateway")
 	}
-	defer func() { _ = resp.Body.Close() }() // the answer has been read
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxExplanationBytes))
-	if err != nil {
-		return nil, errors.Wrap(err, "read the gateway's answer")
-	}
-	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("the gateway answered %s: %s", resp.Status, strings.TrimSpace(string(text)))
+	text := append([]byte(nil), resp.Body()...)
+	if status := resp.StatusCode(); status != fasthttp.StatusOK {
+		return nil, errors.Errorf("the gateway answered %d: %s", status, strings.TrimSpace(string(text)))
 	}
 	return text, nil
 }
