Read answers in the load client and the stand-ins by the grammar

Evidence: the four unreadable cases of TestUnreadableAnswers in coltscaller fail with the code before.

--- a/coltscaller/caller_client.go
+++ b/coltscaller/caller_client.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"coltsfootstall/coltscodec"
+	"coltsfootstall/coltsresponse"
 )
 
 // defaultTimeout is the default of Config.Timeout.
@@ -49,6 +50,7 @@
 		cfg.MaxConnections = 1 << 20
 	}
 	return &Client{cfg: cfg, http: &fasthttp.Client{
+		Transport:                coltsresponse.Transport{},
 		MaxConnsPerHost:          cfg.MaxConnections,
 		ReadTimeout:              cfg.Timeout,
 		StreamResponseBody:       true,
--- a/coltsstandin/standin_base.go
+++ b/coltsstandin/standin_base.go
@@ -23,6 +23,7 @@
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslink"
 	"coltsfootstall/coltsloop"
+	"coltsfootstall/coltsresponse"
 )
 
 const (
@@ -114,7 +115,9 @@
 		b.cfg.AnnouncePeriod = defaultAnnouncePeriod
 	}
 	b.started = time.Now()
-	b.client = &fasthttp.Client{ReadTimeout: messageTimeout, WriteTimeout: messageTimeout, NoDefaultUserAgentHeader: true}
+	b.client = &fasthttp.Client{
+		Transport: coltsresponse.Transport{}, ReadTimeout: messageTimeout, WriteTimeout: messageTimeout, NoDefaultUserAgentHeader: true,
+	}
 	b.connections.open = map[net.Conn]bool{}
 	var err error
 	b.listener, err = net.Listen("tcp", cfg.Addr.String())
