--- a/coltsresponse/response_transport.go
+++ b/coltsresponse/response_transport.go
@@ -14,8 +14,8 @@
 // defaultBodyBytes is the longest body if the client sets no limit.
 const defaultBodyBytes = 64 << 20
 
-// Transport sends the requests of a fasthttp client and reads their responses by the grammar. Once a response has
-// begun, its request is not sent again, whatever the client's settings.
+// Transport sends the requests of a fasthttp client and reads their responses by the grammar. After a response that
+// can't be read, or that breaks off in its body, the request is not sent again, whatever the client's settings.
 type Transport struct{}
 
 // RoundTrip sends a request and reads its response. It reports whether the client may send the request again after
--- a/coltsupstream/upstream_stream.go
+++ b/coltsupstream/upstream_stream.go
@@ -186,11 +186,12 @@
 const maxDrainBytes = 4 << 10
 
 // drain reads the rest of the body after the final event, so that the connection can be
-// reused. The answer is complete whatever follows; a connection on which more follows than
-// the end of the body is not reused.
+// reused. The answer is complete whatever follows; a connection on which the body does not
+// end soon is not reused.
 func (s *Stream) drain() {
 	_ = s.x.conn.SetReadDeadline(s.x.client.cfg.Now().Add(drainTimeout)) // the read below reports a closed connection
-	_, _ = io.CopyN(io.Discard, s.br, maxDrainBytes)                     // the body knows whether it has ended
+	// The body knows whether it has ended.
+	_, _ = io.CopyN(io.Discard, s.br, maxDrainBytes)
 }
 
 // drainTimeout bounds the wait for the end of the body after the final event.
--- a/coltsupstream/upstream_unreadable_test.go
+++ b/coltsupstream/upstream_unreadable_test.go
@@ -3,11 +3,8 @@
 // Answers that are no HTTP/1.1, for each kind of request, and answers to an upload that is not finished.
 
 import (
-	"bufio"
 	"bytes"
 	"context"
-	"net"
-	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"testing"
@@ -84,40 +81,16 @@
 	}
 }
 
-// serveResetUpload reads the head of a request, answers with text, and resets the connection while the body
-// arrives.
-func serveResetUpload(t *testing.T, answer func(id string) string) netip.AddrPort {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = c.Write([]byte(answer(r.Header.Get(coltscodec.HeaderRequest))))
-			}
-			// The bytes before the reset must arrive first.
-			time.Sleep(20 * time.Millisecond)
-			_ = c.(*net.TCPConn).SetLinger(0)
-			_ = c.Close()
-		}
-	}()
-	return netip.MustParseAddrPort(ln.Addr().String())
-}
-
 func TestResetUploads(t *testing.T) {
 	client := New(Config{SilenceTimeout: time.Second, ProbeTimeout: silence})
 	for name, rest := range map[string]string{
 		"with a length": "Content-Length: 9\r\n\r\npart", "with chunks": "Transfer-Encoding: chunked\r\n\r\n" + chunk("part"), "ended by a close": "\r\npart",
 	} {
 		t.Run("a part of an answer "+name+" to an upload is no answer", func(t *testing.T) {
-			r := newRequest(serveResetUpload(t, func(id string) string {
+			// Only the head of the request is read, so its body is still being written when the reset comes.
+			r := newRequest(serveCut(t, func(id string) string {
 				return "HTTP/1.1 200 OK\r\n" + coltscodec.HeaderRequest + ": " + id + "\r\n" + rest
-			}))
+			}, 1<<10, true))
 			r.Body = bytes.Repeat([]byte("a"), 24<<20)
 			a, failure := client.Do(context.Background(), r)
 			assert.Assert(t, failure != nil, "status %d, body %q", a.Status, a.Body)
