Begin another common cache scope when an organisation becomes isolated

What callers saw: nothing, and that is the fault.

Cause: the scope of cached parts followed from the newest config alone. Isolating an organisation moved it to a scope of its own and left all others in the one in which its parts were kept. Nothing knew who had shared there, neither the state machine, which does not parse configs, nor a gateway, which has the newest config only.

Another generation begins when one of the sharers becomes isolated. Gateways get the generation with the config and take a request's scope from the newest config when they send it. The leader retires parts of earlier generations.

Fixtures of two tests of coltsgateway put their table in force, as requests now ask for the newest one.

--- a/coltscontrol/control_service.go
+++ b/coltscontrol/control_service.go
@@ -45,9 +45,10 @@
 		c.log.Info("A route table was refused.", coltslog.Fields{"version": t.Version, "reason": err})
 		return err
 	}
+	members := t.CacheMembers()
 	err := c.submitAtLeader(ctx, coltsstate.Command{
 		Kind:   coltsstate.CommandRoutes,
-		Routes: coltsroute.EncodedTable{Version: t.Version, Source: t.Source},
+		Routes: coltsroute.EncodedTable{Version: t.Version, Source: t.Source, CacheMembers: &members},
 	})
 	c.logOutcome("A route table was submitted.", coltslog.Fields{"version": t.Version, "routes": len(t.Routes)}, err)
 	return err
--- a/coltscontrol/stores_loop.go
+++ b/coltscontrol/stores_loop.go
@@ -6,7 +6,7 @@
 import (
 	"context"
 	"net/netip"
-	"strings"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +18,7 @@
 	"coltsfootstall/coltsloop"
 	"coltsfootstall/coltsroute"
 	"coltsfootstall/coltsstore"
+	"coltsfootstall/coltsweights"
 )
 
 const (
@@ -357,28 +358,29 @@
 	f.c.log.Info("Parts of a store were freed.", fields)
 }
 
-// scopeFilter returns a function that reports whether the parts of a cache scope may still be fetched:
-// those of the named weights versions, or all while no version is named or one was named less than
-// scopeGrace ago.
+// scopeFilter returns a function that reports whether the parts of a cache scope may still be fetched.
+// Those in the common scopes of earlier generations may not: an organisation that is isolated now may
+// have made them.
 func (c *Control) scopeFilter(now time.Time) func(scope string) bool {
-	named, _ := c.machine.Weights.Newest()
-	if len(named) == 0 {
-		return func(string) bool { return true }
-	}
-	var current []string
-	for _, n := range named {
-		if now.Before(n.NamedAt.Add(scopeGrace)) {
-			return func(string) bool { return true }
+	generation, hasWeights := c.routes.Load().CacheGeneration, c.weightsFilter(now)
+	return func(text string) bool {
+		scope, valid := coltsforward.ParseCacheScope(text)
+		if !valid {
+			return hasWeights(0)
 		}
-		current = append(current, coltsforward.CacheScope(n.Number, coltsroute.Organisation{}))
+		return hasWeights(scope.Weights) && (scope.Private || scope.Generation >= generation)
 	}
-	return func(scope string) bool {
-		version, _, _ := strings.Cut(scope, "/")
-		for _, s := range current {
-			if version == s {
-				return true
-			}
-		}
-		return false
+}
+
+// weightsFilter returns a function that reports whether a weights version is one of the named ones. It
+// reports true for all while none is named or one was named less than scopeGrace ago.
+func (c *Control) weightsFilter(now time.Time) func(n coltsweights.Number) bool {
+	named, _ := c.machine.Weights.Newest()
+	isRecent := func(n coltsweights.NamedVersion) bool { return now.Before(n.NamedAt.Add(scopeGrace)) }
+	if len(named) == 0 || slices.ContainsFunc(named, isRecent) {
+		return func(coltsweights.Number) bool { return true }
+	}
+	return func(number coltsweights.Number) bool {
+		return slices.ContainsFunc(named, func(n coltsweights.NamedVersion) bool { return n.Number == number })
 	}
 }
--- a/coltsforward/forward_request.go
+++ b/coltsforward/forward_request.go
@@ -9,7 +9,6 @@
 import (
 	"errors"
 	"math/rand/v2"
-	"strconv"
 	"strings"
 	"time"
 
@@ -18,7 +17,6 @@
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltspoison"
 	"coltsfootstall/coltsroute"
-	"coltsfootstall/coltsweights"
 )
 
 const (
@@ -319,13 +317,3 @@
 	}
 	return refused
 }
-
-// CacheScope returns the scope within which the KV cache of prompt parts may be shared: a
-// weights version and, if the organisation is isolated, the organisation as well.
-func CacheScope(n coltsweights.Number, o coltsroute.Organisation) string {
-	scope := "v" + strconv.FormatUint(uint64(n), 10)
-	if o.Isolated {
-		scope += "/" + string(o.Name)
-	}
-	return scope
-}
--- a/coltsgateway/control_reply.go
+++ b/coltsgateway/control_reply.go
@@ -13,6 +13,7 @@
 	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsmetric"
 	"coltsfootstall/coltsregistry"
+	"coltsfootstall/coltsroute"
 	"coltsfootstall/coltsstore"
 	"coltsfootstall/coltswire"
 	"coltsfootstall/coltswire/coltspb"
@@ -123,6 +124,7 @@
 		return
 	}
 	table, err := w.g.dialect.DecodeTable(encoded.GetSource())
+	table.CacheGeneration = coltsroute.CacheGeneration(encoded.GetCacheGeneration())
 	if err == nil {
 		err = table.Validate()
 	}
@@ -141,6 +143,7 @@
 		w.g.metrics.Put(coltsmetric.RoutesVersion, int64(table.Version))
 		w.g.log.Info("A route table is in force.", coltslog.Fields{
 			"version": table.Version, "before": before, "routes": len(table.Routes), "organisations": len(table.Organisations),
+			"cache-generation": table.CacheGeneration,
 		})
 	}
 }
--- a/coltsgateway/forward_capacity_test.go
+++ b/coltsgateway/forward_capacity_test.go
@@ -19,15 +19,15 @@
 func TestQueue(t *testing.T) {
 	t.Run("all waiting requests for which there is room are woken when one request ends", func(t *testing.T) {
 		g := newTestForwarding(t).g
-		table := coltsroute.NewIndex(coltsroute.Table{
-			Version:  1,
+		g.routes.Put(coltsroute.Table{
+			Version:  2,
 			Services: []coltsroute.Service{{Name: "s", Engine: &coltsroute.Engine{Slots: 20, CacheTokens: 100_000}}},
 			Routes: []coltsroute.Route{{
 				Name: "read", HostName: "h", Prefix: "/", Kind: coltsroute.KindSafe, Timeout: 10 * time.Second, MaxAttempts: 1,
 				LatencyGoal: time.Second, Targets: []coltsroute.Target{{Service: "s", Weight: 1}},
 			}},
 		})
-		now := g.now()
+		table, now := g.routes.Current(), g.now()
 		running, err := g.balancer.Choose(coltsbalance.Demand{Service: "s", Weight: 99_000, Capacity: 100_000}, now)
 		assert.NilError(t, err)
 		var group sync.WaitGroup
--- a/coltsgateway/forward_demand.go
+++ b/coltsgateway/forward_demand.go
@@ -31,7 +31,7 @@
 // weights.
 func (f *forwarding) wantedScope() string {
 	number := max(initialWeightsVersion, f.g.weights.Wanted(f.lifecycle.Inbound.Model).Number)
-	return coltsforward.CacheScope(number, f.lifecycle.Organisation)
+	return f.cacheScopeOf(number)
 }
 
 // nearDataCentre returns the data centre of the store that holds, or should hold, the largest
--- a/coltsgateway/forward_request_test.go
+++ b/coltsgateway/forward_request_test.go
@@ -41,10 +41,11 @@
 	g.balancer.Update(coltsregistry.Entry{Upstream: coltsregistry.Upstream{
 		ID: "u", Service: "s", Slots: 1, State: coltsregistry.StateReady, StartedAt: g.now(), Sequence: 1,
 	}})
-	table := coltsroute.NewIndex(coltsroute.Table{Version: 1, Routes: []coltsroute.Route{{
+	g.routes.Put(coltsroute.Table{Version: 1, Routes: []coltsroute.Route{{
 		Name: "read", HostName: "h", Prefix: "/", Kind: coltsroute.KindSafe, Timeout: time.Second, MaxAttempts: 1,
 		Targets: []coltsroute.Target{{Service: "s", Weight: 1}},
 	}}})
+	table := g.routes.Current()
 	lifecycle, err := coltsforward.NewRequest(coltsforward.InboundRequest{ID: "r", HostName: "h", Path: "/"}, table, g.now())
 	assert.NilError(t, err)
 	return &forwarding{
--- a/coltsgateway/forward_transfers.go
+++ b/coltsgateway/forward_transfers.go
@@ -7,6 +7,7 @@
 
 	"coltsfootstall/coltsforward"
 	"coltsfootstall/coltsstore"
+	"coltsfootstall/coltsweights"
 )
 
 // planTransfers decides which parts of the prompt the runner fetches from stores and which it
@@ -39,8 +40,14 @@
 	return addrs
 }
 
-// cacheScope returns the scope of cached parts: they are shared only within a weights version
-// and, for an isolated organisation, only within that organisation.
+// cacheScope returns the scope of cached parts for the chosen runner.
 func (f *forwarding) cacheScope() string {
-	return coltsforward.CacheScope(f.choice.WeightsVersion(f.lifecycle.Inbound.Model), f.lifecycle.Organisation)
+	return f.cacheScopeOf(f.choice.WeightsVersion(f.lifecycle.Inbound.Model))
+}
+
+// cacheScopeOf returns the scope of cached parts at a runner with a weights version. It follows from the
+// newest route table, not from the one that the request was matched against, which may share what is
+// isolated by now.
+func (f *forwarding) cacheScopeOf(n coltsweights.Number) string {
+	return coltsforward.CacheScope{Weights: n, CacheScope: f.g.routes.Current().CacheScope(f.lifecycle.Organisation.Name)}.String()
 }
--- a/coltsroute/route_index.go
+++ b/coltsroute/route_index.go
@@ -19,7 +19,9 @@
 	// byHost holds the routes of each lower-case host name, the longest prefix first.
 	byHost map[string][]Route
 	// byKey holds the organisation that owns each API key.
-	byKey    map[string]Organisation
+	byKey map[string]Organisation
+	// byName holds the organisations.
+	byName   map[coltsidentity.Organisation]Organisation
 	services map[coltsidentity.Service]Service
 	// stores are the services that are KV cache stores, sorted by name.
 	stores []Service
@@ -33,6 +35,7 @@
 		Table:    t,
 		byHost:   map[string][]Route{},
 		byKey:    map[string]Organisation{},
+		byName:   make(map[coltsidentity.Organisation]Organisation, len(t.Organisations)),
 		services: map[coltsidentity.Service]Service{},
 
 		strictestGoals: map[coltsidentity.Service]time.Duration{},
@@ -46,6 +49,7 @@
 		slices.SortFunc(routes, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 	for _, o := range t.Organisations {
+		ix.byName[o.Name] = o
 		for _, key := range o.Keys {
 			ix.byKey[key] = o
 		}
--- a/coltsroute/route_register.go
+++ b/coltsroute/route_register.go
@@ -13,6 +13,11 @@
 	Version Version
 	// Source is the encoded table.
 	Source []byte
+	// CacheMembers are the organisations of a table that is submitted; nil if an earlier release has
+	// submitted it.
+	CacheMembers *CacheMembers
+	// CacheGeneration is that of the common cache scope while a committed table is in force.
+	CacheGeneration CacheGeneration
 }
 
 // Register holds the current table. It is safe for concurrent use.
--- a/coltsroute/route_table.go
+++ b/coltsroute/route_table.go
@@ -42,6 +42,8 @@
 	// RequiresKey is set if requests need an API key unless their route is public. It is
 	// false for a table without a list of organisations.
 	RequiresKey bool
+	// CacheGeneration is that of the common cache scope. It is not part of the text.
+	CacheGeneration CacheGeneration
 	// Source is the text that the table was decoded from.
 	Source []byte
 }
--- a/coltsstate/state_machine.go
+++ b/coltsstate/state_machine.go
@@ -29,8 +29,10 @@
 	Evacuations *coltsevacuation.Register
 	// Departures holds the processes of upstreams that are draining or have left.
 	Departures *coltsdeparture.Register
-	// routes is the newest routing table, as text. The machine does not parse it.
-	routes coltsroute.EncodedTable
+	// routes is the newest routing table, as text. The machine does not parse it. cacheSharing follows
+	// which of the organisations share KV cache.
+	routes       coltsroute.EncodedTable
+	cacheSharing coltsroute.CacheSharing
 	// appliedAt is the time of the newest command. A command with an earlier time, from
 	// a leader whose clock is behind, is applied at this time instead.
 	appliedAt time.Time
@@ -76,9 +78,7 @@
 		m.Account.AddBatch(c.Usage)
 		return Result{}
 	case CommandRoutes:
-		if c.Routes.Version > m.routes.Version {
-			m.routes = c.Routes
-		}
+		m.putRoutes(c.Routes)
 		return Result{}
 	case CommandWeights:
 		c.Weights.NamedAt = now
@@ -93,6 +93,16 @@
 	return Result{}
 }
 
+// putRoutes puts a routing table in force if its version is the highest.
+func (m *Machine) putRoutes(t coltsroute.EncodedTable) {
+	if t.Version <= m.routes.Version {
+		return
+	}
+	m.cacheSharing = m.cacheSharing.Next(t.CacheMembers)
+	t.CacheMembers, t.CacheGeneration = nil, m.cacheSharing.Generation
+	m.routes = t
+}
+
 // Routes returns the newest routing table, as text. Like Apply, it must be called from
 // the goroutine that applies the log.
 func (m *Machine) Routes() coltsroute.EncodedTable {
@@ -127,6 +137,8 @@
 	Sources   []coltsusage.Source
 	Routes    coltsroute.EncodedTable
 	Weights   []coltsweights.NamedVersion
+	// CacheSharing says who may have made what is kept in the common cache scope.
+	CacheSharing coltsroute.CacheSharing
 	// Evacuations is the state of the evacuated data centres.
 	Evacuations coltsevacuation.State
 	// Departures are the processes of upstreams that are draining or have left.
@@ -139,7 +151,7 @@
 	s.Document, s.Changes = m.Register.Export()
 	s.LastGrant, s.Bookings = m.Ledger.Export()
 	s.Lines, s.Sources = m.Account.Export()
-	s.Routes = m.routes
+	s.Routes, s.CacheSharing = m.routes, m.cacheSharing
 	s.Weights, _ = m.Weights.Newest()
 	s.Evacuations = m.Evacuations.Current()
 	s.Departures = m.Departures.Current()
@@ -152,7 +164,7 @@
 	m.Register.Import(s.Document, s.Changes)
 	m.Ledger.Import(s.LastGrant, s.Bookings)
 	m.Account.Import(s.Lines, s.Sources)
-	m.routes = s.Routes
+	m.routes, m.cacheSharing = s.Routes, s.CacheSharing
 	m.Weights.Import(s.Weights)
 	m.Evacuations.Import(s.Evacuations)
 	m.Departures.Import(s.Departures)
--- a/coltswire/wire_registry.go
+++ b/coltswire/wire_registry.go
@@ -15,12 +15,51 @@
 
 // EncodeRouteTable returns the protobuf message for a route table.
 func EncodeRouteTable(t coltsroute.EncodedTable) *coltspb.RoutesText {
-	return &coltspb.RoutesText{Version: uint64(t.Version), Source: t.Source}
+	m := &coltspb.RoutesText{Version: uint64(t.Version), Source: t.Source, CacheGeneration: uint64(t.CacheGeneration)}
+	if t.CacheMembers != nil {
+		m.CacheMembers = &coltspb.CacheMembers{
+			Sharing: encodeOrganisations(t.CacheMembers.Sharing), Isolated: encodeOrganisations(t.CacheMembers.Isolated),
+		}
+	}
+	return m
 }
 
 // DecodeRouteTable returns the route table held in a protobuf message.
 func DecodeRouteTable(m *coltspb.RoutesText) coltsroute.EncodedTable {
-	return coltsroute.EncodedTable{Version: coltsroute.Version(m.GetVersion()), Source: m.GetSource()}
+	t := coltsroute.EncodedTable{
+		Version: coltsroute.Version(m.GetVersion()), Source: m.GetSource(),
+		CacheGeneration: coltsroute.CacheGeneration(m.GetCacheGeneration()),
+	}
+	if members := m.GetCacheMembers(); members != nil {
+		t.CacheMembers = &coltsroute.CacheMembers{
+			Sharing: decodeOrganisations(members.GetSharing()), Isolated: decodeOrganisations(members.GetIsolated()),
+		}
+	}
+	return t
+}
+
+func encodeCacheSharing(s coltsroute.CacheSharing) *coltspb.CacheSharing {
+	return &coltspb.CacheSharing{
+		Generation: uint64(s.Generation), Sharers: encodeOrganisations(s.Sharers), SharersUnknown: s.SharersUnknown,
+	}
+}
+
+// decodeCacheSharing is the inverse of encodeCacheSharing. A snapshot of an earlier release has no message;
+// who shared parts by its route table, if it has one, is not known.
+func decodeCacheSharing(m *coltspb.CacheSharing, hasRoutes bool) coltsroute.CacheSharing {
+	return coltsroute.CacheSharing{
+		Generation:     coltsroute.CacheGeneration(m.GetGeneration()),
+		Sharers:        decodeOrganisations(m.GetSharers()),
+		SharersUnknown: m.GetSharersUnknown() || m == nil && hasRoutes,
+	}
+}
+
+func encodeOrganisations(names []coltsidentity.Organisation) []string {
+	return convert(names, func(n coltsidentity.Organisation) string { return string(n) })
+}
+
+func decodeOrganisations(names []string) []coltsidentity.Organisation {
+	return convert(names, func(n string) coltsidentity.Organisation { return coltsidentity.Organisation(n) })
 }
 
 // EncodeNamedVersion returns the protobuf message for a weight version that an
--- a/coltswire/wire_snapshot.go
+++ b/coltswire/wire_snapshot.go
@@ -36,6 +36,8 @@
 		Sources:     convert(s.Sources, encodeUsageSource),
 		Routes:      EncodeRouteTable(s.Routes),
 		Weights:     convert(s.Weights, EncodeNamedVersion),
+
+		CacheSharing: encodeCacheSharing(s.CacheSharing),
 	})
 	return b, errors.Wrap(err, "marshal snapshot")
 }
@@ -61,6 +63,8 @@
 		Sources:     convert(m.GetSources(), decodeUsageSource),
 		Routes:      DecodeRouteTable(m.GetRoutes()),
 		Weights:     convert(m.GetWeights(), DecodeNamedVersion),
+
+		CacheSharing: decodeCacheSharing(m.GetCacheSharing(), m.GetRoutes().GetVersion() > 0),
 	}
 	for _, change := range m.GetChanges() {
 		record, err := DecodeChangeRecord(change)
