Let control wait for a disk that refuses writes instead of ending

Change: coltsjournal cuts its last segment to the durable length and syncs that before the next frame, so an append after a failure can succeed, and opening needs no write; the last frame that a start reads is written and synced again before anything is based on it. The driver of coltscontrol keeps the output that it can't persist, takes no part in the group, refuses calls at once or passes them on to the leader, says so in log and metrics (disk-failures, disk-refuses) and goes on when the disk accepts writes.

--- a/coltscommand/command_instance.go
+++ b/coltscommand/command_instance.go
@@ -72,8 +72,7 @@
 	shutdown func() error
 	// reload applies changed settings; nil if none can change at run time.
 	reload func(coltssettings.Settings)
-	// failed is closed when the instance's disk has failed and the instance must be
-	// restarted; nil if the instance has no disk to fail.
+	// failed is closed when the instance can't apply its state any more; nil if it has none.
 	failed <-chan struct{}
 }
 
@@ -88,10 +87,9 @@
 	}
 }
 
-// runInstance starts an instance and runs it until a stop signal arrives or its disk
-// fails.
+// runInstance starts an instance and runs it until a stop signal arrives or it fails.
 func runInstance(ctx context.Context, c *cli.Command, log *coltslog.Log, sighups <-chan os.Signal, i instance) error {
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := notifyStop(ctx)
 	defer stop()
 	if err := i.start(); err != nil {
 		return err
@@ -103,17 +101,21 @@
 		return i.shutdown()
 	case <-i.failed:
 	}
-	// The disk may recover; after a restart the instance reads its state from it again.
-	coltsloop.Sleep(ctx, diskFailureExitDelay)
+	coltsloop.Sleep(ctx, failureExitDelay)
 	if err := i.shutdown(); err != nil {
 		return err
 	}
-	return errors.New("the instance stopped because its disk failed")
+	return errors.New("the instance stopped because it can't apply the replicated state")
 }
 
-// diskFailureExitDelay is the delay before an instance whose disk failed exits, so that a
-// supervisor does not restart it many times a second while the disk still fails.
-const diskFailureExitDelay = time.Second
+// notifyStop returns a context that ends when a stop signal arrives.
+func notifyStop(ctx context.Context) (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+}
+
+// failureExitDelay is the delay before an instance that has failed exits, so that a supervisor does not
+// restart it many times a second.
+const failureExitDelay = time.Second
 
 func runEntry(ctx context.Context, c *cli.Command, sighups <-chan os.Signal) error {
 	settings, err := loadSettings(ctx, c, sighups)
@@ -135,14 +137,16 @@
 	}
 	log := newLog(c, settings)
 	client := platform.NewRunnerClient()
-	control, err := coltscontrol.New(coltscontrol.Config{
+	ctx, stop := notifyStop(ctx)
+	defer stop()
+	control, err := coltscontrol.Open(ctx, coltscontrol.Config{
 		Settings: settings, Log: log,
 		Runners: client.Runners(), Stores: client.Stores(), DecodeTable: platform.DecodeTable,
 	})
 	if err != nil {
 		return err
 	}
-	i := instance{start: control.Start, shutdown: control.Shutdown, reload: control.Reload, failed: control.DiskFailed()}
+	i := instance{start: control.Start, shutdown: control.Shutdown, reload: control.Reload, failed: control.Failed()}
 	if !settings.Control.ServiceAddr.IsValid() {
 		return runInstance(ctx, c, log, sighups, i)
 	}
--- a/coltscontrol/control.go
+++ b/coltscontrol/control.go
@@ -24,6 +24,7 @@
 	"coltsfootstall/coltsevacuation"
 	"coltsfootstall/coltsfront"
 	"coltsfootstall/coltsidentity"
+	"coltsfootstall/coltsjournal"
 	"coltsfootstall/coltslink"
 	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsloop"
@@ -137,6 +138,23 @@
 	loops  sync.WaitGroup
 }
 
+// Open is like New, but waits until ctx ends while the disk refuses the files that the first start on an
+// empty disk needs. Later starts write none.
+func Open(ctx context.Context, cfg Config) (*Control, error) {
+	logged := false
+	for {
+		c, err := New(cfg)
+		if !coltsjournal.IsRefused(err) || ctx.Err() != nil {
+			return c, err
+		}
+		if !logged {
+			cfg.Log.Logger("control").Error("The disk refuses writes; the instance starts once it accepts them.", coltslog.Fields{"error": err})
+		}
+		logged = true
+		coltsloop.Sleep(ctx, diskRetryPeriod)
+	}
+}
+
 // New returns a control instance with its state restored from disk. It does not listen yet.
 func New(cfg Config) (*Control, error) {
 	if cfg.Now == nil {
@@ -250,9 +268,9 @@
 // OperatorAddr returns the address that serves health, readiness and metrics.
 func (c *Control) OperatorAddr() netip.AddrPort { return coltslink.AddrOf(c.operatorListener) }
 
-// DiskFailed returns a channel that is closed when the disk has failed. The instance then no longer
-// takes part in the group.
-func (c *Control) DiskFailed() <-chan struct{} { return c.driver.diskFailed }
+// Failed returns a channel that is closed when a committed entry can't be applied, as by an earlier release.
+// The instance then takes no part in the group any more.
+func (c *Control) Failed() <-chan struct{} { return c.driver.failed }
 
 // Reload applies the only setting that can change while the instance runs: the seeds.
 func (c *Control) Reload(s coltssettings.Settings) {
--- a/coltscontrol/driver_output.go
+++ b/coltscontrol/driver_output.go
@@ -4,7 +4,7 @@
 // persist, send, apply committed entries, complete reads.
 
 import (
-	"time"
+	"context"
 
 	"github.com/pkg/errors"
 
@@ -17,14 +17,14 @@
 
 // processOutputs processes the replica's outputs until none is left, then fails pending calls if the
 // leadership was lost, starts a snapshot if one is due and publishes a new view.
-func (d *replicaDriver) processOutputs() error {
+func (d *replicaDriver) processOutputs(ctx context.Context) error {
 	wasLeader := d.view.Load().isLeader
 	for {
 		out := d.replica.TakeOutput()
 		if out.Empty() {
 			break
 		}
-		if err := d.processOutput(out); err != nil {
+		if err := d.processOutput(ctx, out); err != nil {
 			return err
 		}
 	}
@@ -36,9 +36,9 @@
 	return nil
 }
 
-func (d *replicaDriver) processOutput(out coltsreplica.Output) error {
+func (d *replicaDriver) processOutput(ctx context.Context, out coltsreplica.Output) error {
 	d.send(out.EarlyMessages)
-	if err := d.store.persist(out); err != nil {
+	if err := d.persist(ctx, &out); err != nil {
 		return err
 	}
 	if out.HardState != nil {
@@ -150,18 +150,6 @@
 	}
 }
 
-// handleDiskFailure fails all pending calls and publishes that the disk has failed. The replica takes
-// no further part in the group.
-func (d *replicaDriver) handleDiskFailure(err error) {
-	d.c.log.Error("The disk failed; this instance stops taking part in the group and acknowledges nothing more.",
-		coltslog.Fields{"error": err})
-	d.failPending(err)
-	v := *d.view.Load()
-	v.diskFailed, v.isLeader, v.leader, v.freshUntil = true, false, "", time.Time{}
-	d.view.Store(&v)
-	close(d.diskFailed)
-}
-
 // publish stores a new view of the replica for other goroutines, and wakes those that wait for a
 // change of leader.
 func (d *replicaDriver) publish() {
--- a/coltscontrol/driver_pending.go
+++ b/coltscontrol/driver_pending.go
@@ -40,9 +40,10 @@
 // savedSnapshot is the result of writing a snapshot to disk.
 type savedSnapshot struct {
 	index uint64
-	// bytes is the length of the encoded state.
-	bytes int
-	err   error
+	// bytes is the length of the encoded state, covered that of the commands since the snapshot before.
+	bytes   int
+	covered int
+	err     error
 }
 
 // errLostLeadership reports that this instance lost the leadership while a call was pending. It is
--- a/coltscontrol/group_loop.go
+++ b/coltscontrol/group_loop.go
@@ -31,7 +31,7 @@
 )
 
 // maintainGroup changes the group's membership while this instance leads, and asks to join while it is
-// not a member or its state is stale, until ctx ends or the disk fails.
+// not a member or its state is stale, until ctx ends. It does neither while the disk refuses writes.
 func (c *Control) maintainGroup(ctx context.Context) {
 	j := joiner{c: c, clients: map[netip.AddrPort]coltspbconnect.ControlClient{}}
 	ticker := time.NewTicker(groupPeriod)
@@ -44,7 +44,6 @@
 		}
 		switch v := c.driver.view.Load(); {
 		case v.diskFailed:
-			return
 		case v.isLeader:
 			c.reconcileGroup(ctx)
 		case !slices.Contains(v.configuration.Members(), c.replicaID) || !c.stateFresh():
--- a/coltscontrol/replica_driver.go
+++ b/coltscontrol/replica_driver.go
@@ -16,6 +16,7 @@
 	"coltsfootstall/coltsdocument"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltsjournal"
+	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsreplica"
 )
 
@@ -54,8 +55,8 @@
 	// view is the replica's published state, for other goroutines.
 	view atomic.Pointer[replicaView]
 
-	// The fields below are used by the loop only, except diskFailed. pendingCommands is
-	// keyed by log index, pendingReads by read token.
+	// The fields below are used by the loop only, except failed. pendingCommands is keyed by
+	// log index, pendingReads by read token.
 	pendingCommands   map[uint64]*pendingCommand
 	pendingReads      map[uint64]*pendingRead
 	lastReadToken     uint64
@@ -67,14 +68,18 @@
 	bytesSinceSnapshot int
 	snapshotBytes      int
 	savingSnapshot     bool
-	hardState          coltsreplica.HardState
+	// retrySnapshotAt is when a snapshot or checkpoint that failed may be tried again, and
+	// checkpointDue is the index of a snapshot whose checkpoint has failed; zero for none.
+	retrySnapshotAt time.Time
+	checkpointDue   uint64
+	hardState       coltsreplica.HardState
 	// publishedRevision, publishedWeights and publishedDepartures are the revisions of the document, of the
 	// named weights and of the departures that were last published.
 	publishedRevision   coltsdocument.Revision
 	publishedWeights    uint64
 	publishedDepartures uint64
-	// diskFailed is closed when the disk has failed; any goroutine may wait for it.
-	diskFailed chan struct{}
+	// failed is closed when a committed entry can't be applied; any goroutine may wait for it.
+	failed chan struct{}
 }
 
 // replicaView is a copy of the replica's state for other goroutines.
@@ -97,8 +102,7 @@
 	// confirmedUntil is until when a quorum's last acknowledgement counts for this leader.
 	confirmedUntil time.Time
 	leaderSince    time.Time
-	// diskFailed is set once the disk has failed; the replica then takes no further part in the
-	// group.
+	// diskFailed is set while the disk refuses writes; the replica then takes no part in the group.
 	diskFailed    bool
 	configuration coltsreplica.Configuration
 }
@@ -116,7 +120,7 @@
 		snapshotPool:    pond.NewPool(1),
 		pendingCommands: map[uint64]*pendingCommand{},
 		pendingReads:    map[uint64]*pendingRead{},
-		diskFailed:      make(chan struct{}),
+		failed:          make(chan struct{}),
 	}
 	store, restored, err := openStore(coltsjournal.Config{
 		Dir:          c.settings.DataFolder,
@@ -162,15 +166,16 @@
 	return initial
 }
 
-// run is the driver's loop. It returns when ctx ends or the disk fails.
+// run is the driver's loop. It returns when ctx ends or a committed entry can't be applied.
 func (d *replicaDriver) run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	for {
+	// What was read at the start must be durable before the replica answers for it.
+	err := d.persist(ctx, &coltsreplica.Output{})
+	for err == nil {
 		select {
 		case <-ctx.Done():
-			d.failPending(errors.New("this instance is shutting down"))
-			return
+			err = errShuttingDown
 		case <-timer.C:
 			d.replica.Tick(d.c.cfg.Now())
 		case p := <-d.proposals:
@@ -185,12 +190,29 @@
 		case s := <-d.savedSnapshots:
 			d.finishSnapshot(s)
 		}
-		if err := d.processOutputs(); err != nil {
-			d.handleDiskFailure(err)
-			return
+		if err == nil {
+			err = d.processOutputs(ctx)
 		}
 		timer.Reset(d.replica.NextTickAt().Sub(d.c.cfg.Now()))
 	}
+	d.stop(err)
+}
+
+// errShuttingDown ends the driver's loop.
+var errShuttingDown = errors.New("this instance is shutting down")
+
+// stop fails all pending calls with the error that ended the loop, and publishes that this instance takes
+// no part in the group any more.
+func (d *replicaDriver) stop(err error) {
+	d.failPending(err)
+	if errors.Is(err, errShuttingDown) {
+		return
+	}
+	d.c.log.Error("The replicated state can't be applied; this instance takes no part in the group any more.", coltslog.Fields{"error": err})
+	v := *d.view.Load()
+	v.isLeader, v.leader, v.freshUntil = false, "", time.Time{}
+	d.view.Store(&v)
+	close(d.failed)
 }
 
 // propose proposes commands to the replica and records them as pending.
--- a/coltscontrol/replica_store.go
+++ b/coltscontrol/replica_store.go
@@ -89,8 +89,12 @@
 }
 
 // persist makes an output's snapshot, hard state and entries durable; the journal's records are written
-// in one frame.
+// in one frame. After an error the output may be persisted again. An output without any of these is
+// refused, too, while the journal can't be written.
 func (s *replicaStore) persist(out coltsreplica.Output) error {
+	if err := s.journal.Recover(); err != nil {
+		return err
+	}
 	var records []coltswire.LogRecord
 	if out.InstallSnapshot != nil {
 		if err := s.saveSnapshot(*out.InstallSnapshot); err != nil {
--- a/coltsjournal/journal.go
+++ b/coltsjournal/journal.go
@@ -3,8 +3,9 @@
 //
 // A record survives a crash of the process, and of the machine if the disk
 // honours sync, once Append has returned nil for it. After a failed write or sync
-// the content of the file is unknown, so the journal rejects all further appends
-// until it is opened again. docs/JOURNAL.md describes the file formats.
+// the content of the file after the last durable frame is unknown. The journal then
+// rejects appends until that content has been removed durably, which every append
+// tries first. docs/JOURNAL.md describes the file formats.
 package coltsjournal
 
 // Concurrent appends share one sync (group commit): the first caller writes the
@@ -15,6 +16,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 
 	"github.com/pkg/errors"
 )
@@ -36,19 +38,21 @@
 	Sync func(f *os.File) error
 }
 
-// BrokenError reports that the journal rejects appends because a write or sync
-// failed earlier or because it was closed.
+// BrokenError reports that the journal has not stored records: a write or sync failed,
+// what an earlier failure left behind can't be removed yet, or the journal is closed.
 type BrokenError struct {
-	Dir string
-	// Cause is the first error, after which the journal stopped writing.
+	Dir   string
 	Cause error
 }
 
 // Error names the directory and the cause.
 func (e *BrokenError) Error() string {
-	return fmt.Sprintf("journal %s has stopped writing: %v", e.Dir, e.Cause)
+	return fmt.Sprintf("journal %s can't be written: %v", e.Dir, e.Cause)
 }
 
+// Unwrap returns the cause.
+func (e *BrokenError) Unwrap() error { return e.Cause }
+
 // CorruptError reports that data which was once durable is corrupt or missing.
 type CorruptError struct {
 	File string
@@ -111,9 +115,10 @@
 	Bytes   uint64
 }
 
-// Open locks the directory, removes a torn last frame, and calls replay for each
-// record, oldest first. The records are numbered in the order in which they were
-// appended, starting at 1; removing segments does not change the numbers.
+// Open locks the directory and calls replay for each record before a torn last frame,
+// oldest first. The records are numbered in the order in which they were appended,
+// starting at 1; removing segments does not change the numbers. If the disk refuses
+// writes, what was replayed may not be durable: Recover returns an error until it is.
 func Open(cfg Config, replay func(number uint64, record []byte) error) (*Journal, error) {
 	cfg = cfg.withDefaults()
 	if err := os.MkdirAll(cfg.Dir, 0o750); err != nil {
@@ -153,7 +158,8 @@
 }
 
 // Append writes records in order and returns once they are durable. It returns a
-// BrokenError if the write failed; the records may be on disk or not in that case.
+// BrokenError if they are not stored; until a later call of Append or Recover succeeds,
+// a restart may find them nevertheless.
 func (j *Journal) Append(records ...[]byte) error {
 	if len(records) == 0 {
 		return nil
@@ -204,6 +210,13 @@
 	}
 }
 
+// Recover makes the journal accept appends after a failure, or after Open, if it does
+// not yet: it removes what may have been written after the last durable frame. It
+// returns a BrokenError if the disk still refuses that.
+func (j *Journal) Recover() error {
+	return j.files.recover()
+}
+
 // RemoveSegmentsBefore removes the segments in which every record has a lower number
 // than the given one. The last segment is never removed.
 func (j *Journal) RemoveSegmentsBefore(number uint64) error {
@@ -230,6 +243,15 @@
 	return errors.Wrap(err, "close journal")
 }
 
+// IsRefused reports whether err is due to a disk that refuses writes, which it may accept later.
+func IsRefused(err error) bool {
+	var errno syscall.Errno
+	if !errors.As(err, &errno) {
+		return false
+	}
+	return errno == syscall.ENOSPC || errno == syscall.EDQUOT || errno == syscall.EROFS || errno == syscall.EIO
+}
+
 // syncDir makes the entries of a directory durable.
 func syncDir(dir string, syncFile func(*os.File) error) error {
 	f, err := os.Open(filepath.Clean(dir))
--- a/coltsjournal/journal_segment.go
+++ b/coltsjournal/journal_segment.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"slices"
@@ -38,20 +39,24 @@
 	mu sync.Mutex
 	// segments is ordered by record number.
 	segments []segment
-	// active is the last segment.
+	// active is the last segment; nil if the next one has not been created yet.
 	active *os.File
-	// size is the size of active in bytes.
+	// size is the size in bytes of what is durable in active.
 	size int64
 	// next is the number of the next record.
 	next uint64
-	// writeErr is the error after which all writes fail; nil if there was none.
-	writeErr error
-	stats    Stats
+	// unrecovered is set while active may hold more than what is durable. lastFrame is the last frame
+	// of active if it was read and not written by this process, so that it may not be durable itself.
+	unrecovered bool
+	lastFrame   []byte
+	closed      bool
+	stats       Stats
 	// buffer is reused to encode frames.
 	buffer []byte
 }
 
-// open replays all segments and opens the last one for writing.
+// open replays all segments and opens the last one for writing. It changes no file except by recovering,
+// which may fail and is tried again by the next append.
 func (s *segmentFiles) open(replay func(uint64, []byte) error) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -73,7 +78,12 @@
 			return err
 		}
 	}
-	return s.openActiveSegment()
+	if err := s.openActiveSegment(); err != nil {
+		return err
+	}
+	s.unrecovered = true
+	_ = s.recoverLocked()
+	return nil
 }
 
 // listSegments returns the segments in a directory, ordered by record number.
@@ -99,15 +109,16 @@
 	return segments, nil
 }
 
-// replaySegment calls replay for each record of a segment. In the last segment, a torn
-// frame or segment header is removed; in any other segment it is an error.
+// replaySegment calls replay for each record of a segment. In the last segment a torn frame or segment
+// header ends the durable content; in any other segment it is an error.
 func (s *segmentFiles) replaySegment(seg segment, last bool, replay func(uint64, []byte) error) error {
 	content, err := os.ReadFile(seg.path)
 	if err != nil {
 		return errors.Wrap(err, "read segment")
 	}
+	s.size, s.lastFrame = 0, nil
 	if len(content) < len(segmentMagic) && last {
-		return s.truncate(seg, 0)
+		return nil
 	}
 	if !strings.HasPrefix(string(content[:min(len(content), len(segmentMagic))]), segmentMagic) {
 		return &CorruptError{File: seg.path}
@@ -116,7 +127,7 @@
 	for offset < len(content) {
 		records, size, state := parseFrame(content[offset:])
 		if state == frameTorn && last {
-			return s.truncate(seg, int64(offset))
+			break
 		}
 		if state != frameValid {
 			return &CorruptError{File: seg.path, Offset: int64(offset)}
@@ -127,85 +138,113 @@
 			}
 			s.next++
 		}
+		s.lastFrame = content[offset : offset+size]
 		offset += size
 	}
+	s.size = int64(offset)
 	return nil
 }
 
-// truncate removes a torn frame or segment header from the end of a segment by
-// shortening the file to size bytes. If size is 0, it writes a new segment header.
-func (s *segmentFiles) truncate(seg segment, size int64) error {
-	f, err := os.OpenFile(seg.path, os.O_RDWR, 0)
-	if err != nil {
-		return errors.Wrap(err, "open torn segment")
-	}
-	err = f.Truncate(size)
-	if err == nil && size == 0 {
-		_, err = f.Write([]byte(segmentMagic))
+// openActiveSegment opens the last segment for writing, if there is one.
+func (s *segmentFiles) openActiveSegment() error {
+	if len(s.segments) == 0 {
+		return nil
 	}
-	if err == nil {
-		err = s.cfg.Sync(f)
+	f, err := os.OpenFile(s.segments[len(s.segments)-1].path, os.O_RDWR, 0)
+	if err != nil {
+		return errors.Wrap(err, "open segment")
 	}
-	if closeErr := f.Close(); err == nil {
-		err = closeErr
+	s.active, s.lastFrame = f, slices.Clone(s.lastFrame)
+	return nil
+}
+
+func (s *segmentFiles) recover() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.recoverLocked(); err != nil {
+		return &BrokenError{Dir: s.cfg.Dir, Cause: err}
 	}
-	return errors.Wrap(err, "truncate torn segment")
+	return nil
 }
 
-// openActiveSegment opens the last segment for writing, or creates the first one.
-func (s *segmentFiles) openActiveSegment() error {
-	if len(s.segments) == 0 {
+// recoverLocked makes the active segment end with the last durable frame. It also writes a last frame
+// that was read: after a failed sync of an earlier process it may be in the page cache and not on disk,
+// and a further sync would not write it.
+func (s *segmentFiles) recoverLocked() error {
+	switch {
+	case s.closed:
+		return errors.New("journal is closed")
+	case s.active == nil:
 		return s.createSegmentLocked()
+	case !s.unrecovered:
+		return nil
 	}
-	last := s.segments[len(s.segments)-1]
-	f, err := os.OpenFile(last.path, os.O_RDWR|os.O_APPEND, 0)
-	if err != nil {
-		return errors.Wrap(err, "open segment")
+	if err := s.active.Truncate(s.size); err != nil {
+		return errors.Wrap(err, "truncate segment")
 	}
-	info, err := f.Stat()
-	if err != nil {
-		return errors.Wrap(err, "get size of segment")
+	rewritten := s.lastFrame
+	if s.size == 0 {
+		rewritten = []byte(segmentMagic)
+	}
+	if _, err := s.active.Seek(max(0, s.size-int64(len(rewritten))), io.SeekStart); err != nil {
+		return errors.Wrap(err, "seek in segment")
+	}
+	if len(rewritten) > 0 {
+		if _, err := s.cfg.Write(s.active, rewritten); err != nil {
+			return errors.Wrap(err, "rewrite segment")
+		}
+	}
+	if err := s.cfg.Sync(s.active); err != nil {
+		return errors.Wrap(err, "sync segment")
+	}
+	if err := syncDir(s.cfg.Dir, s.cfg.Sync); err != nil {
+		return err
 	}
-	s.active = f
-	s.size = info.Size()
+	s.size = max(s.size, int64(len(segmentMagic)))
+	s.unrecovered, s.lastFrame = false, nil
 	return nil
 }
 
-// createSegmentLocked creates a segment that starts with the next record and makes
-// it the active one.
+// createSegmentLocked creates a segment that starts with the next record and makes it the active one. A
+// file with its name has no durable records: its creation has failed.
 func (s *segmentFiles) createSegmentLocked() error {
 	name := fmt.Sprintf("%s%020d%s", segmentPrefix, s.next, segmentSuffix)
 	path := filepath.Join(s.cfg.Dir, name)
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_RDWR|os.O_APPEND, 0o640)
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_RDWR, 0o640)
 	if err != nil {
 		return errors.Wrap(err, "create segment")
 	}
+	if err := s.initSegment(f); err != nil {
+		// The error from writing is more useful than one from closing the file.
+		_ = f.Close()
+		return err
+	}
+	s.segments = append(s.segments, segment{path: path, first: s.next})
+	s.active, s.size = f, int64(len(segmentMagic))
+	s.unrecovered, s.lastFrame = false, nil
+	return nil
+}
+
+// initSegment writes a segment's header and makes the file durable.
+func (s *segmentFiles) initSegment(f *os.File) error {
 	if _, err := s.cfg.Write(f, []byte(segmentMagic)); err != nil {
 		return errors.Wrap(err, "write segment header")
 	}
 	if err := s.cfg.Sync(f); err != nil {
 		return errors.Wrap(err, "sync segment")
 	}
-	if err := syncDir(s.cfg.Dir, s.cfg.Sync); err != nil {
-		return err
-	}
-	s.segments = append(s.segments, segment{path: path, first: s.next})
-	s.active = f
-	s.size = int64(len(segmentMagic))
-	return nil
+	return syncDir(s.cfg.Dir, s.cfg.Sync)
 }
 
-// write writes records as one frame and makes it durable. After the first error,
-// it always fails with a BrokenError.
+// write writes records as one frame and makes it durable. It fails with a BrokenError.
 func (s *segmentFiles) write(records [][]byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.writeErr != nil {
-		return &BrokenError{Dir: s.cfg.Dir, Cause: s.writeErr}
+	err := s.recoverLocked()
+	if err == nil {
+		err = s.writeLocked(records)
 	}
-	err := s.writeLocked(records)
 	if err != nil {
-		s.writeErr = err
 		return &BrokenError{Dir: s.cfg.Dir, Cause: err}
 	}
 	return nil
@@ -213,7 +252,9 @@
 
 func (s *segmentFiles) writeLocked(records [][]byte) error {
 	if s.size >= s.cfg.SegmentBytes {
-		if err := s.active.Close(); err != nil {
+		full := s.active
+		s.active = nil
+		if err := full.Close(); err != nil {
 			return errors.Wrap(err, "close full segment")
 		}
 		if err := s.createSegmentLocked(); err != nil {
@@ -221,12 +262,14 @@
 		}
 	}
 	s.buffer = appendFrame(s.buffer[:0], records)
+	s.unrecovered = true
 	if _, err := s.cfg.Write(s.active, s.buffer); err != nil {
 		return errors.Wrap(err, "write frame")
 	}
 	if err := s.cfg.Sync(s.active); err != nil {
 		return errors.Wrap(err, "sync frame")
 	}
+	s.unrecovered = false
 	s.size += int64(len(s.buffer))
 	s.next += uint64(len(records))
 	s.stats.Records += uint64(len(records))
@@ -267,8 +310,9 @@
 func (s *segmentFiles) close() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.writeErr == nil {
-		s.writeErr = errors.New("journal is closed")
+	s.closed = true
+	if s.active == nil {
+		return nil
 	}
 	return s.active.Close()
 }
--- a/coltsjournal/journal_snapshot.go
+++ b/coltsjournal/journal_snapshot.go
@@ -43,6 +43,8 @@
 	}
 	path := filepath.Join(cfg.Dir, name)
 	if err := writeTempFile(cfg, path+tempSuffix, content); err != nil {
+		// What was written of it takes the room that the disk may lack.
+		_ = os.Remove(path + tempSuffix)
 		return err
 	}
 	if err := os.Rename(path+tempSuffix, path); err != nil {
--- a/coltsmetric/metric_table.go
+++ b/coltsmetric/metric_table.go
@@ -71,6 +71,8 @@
 	Commands               = Metric{"commands", "commands", "commands applied"}
 	JournalSyncs           = Metric{"journal-syncs", "syncs", "syncs of the journal"}
 	Snapshots              = Metric{"snapshots", "snapshots", "snapshots written"}
+	DiskFailures           = Metric{"disk-failures", "failures", "times that the disk began to refuse writes"}
+	DiskRefuses            = Metric{"disk-refuses", "0 or 1", "1 while the disk refuses writes and the instance takes no part in the group"}
 )
 
 // allMetrics holds all metrics in the order in which they are listed.
@@ -81,7 +83,7 @@
 	Announcements, UntrustedAnnouncements, Upstreams, CacheEvents, Grants, Replays, SettleRetries, Revision, LastContactMillis,
 	RoutesVersion, WatchFailures, RefusedNotRun, FailedUnknown, StreamsBroken, RequestsAtHome, ChoicesCompared, ChoicesOverloaded, Panics, BuffersExhausted, BodiesRefused, ConnectionsShed, PartsBlocked, UpstreamsLeft, Pauses,
 	EvacuatedDataCentres, ColdUpstreams, ColdPermits, ColdWaits, LogLinesDropped,
-	UsageBatches, Commands, JournalSyncs, Snapshots,
+	UsageBatches, Commands, JournalSyncs, Snapshots, DiskFailures, DiskRefuses,
 }
 
 // Table returns all metrics in the order in which they are listed.
--- a/coltsreplica/replica_campaign.go
+++ b/coltsreplica/replica_campaign.go
@@ -35,6 +35,13 @@
 	n.electionDeadline = now.Add(n.cfg.ElectionTimeout)
 }
 
+// StepDown makes this replica a follower that knows no leader, after its driver could not process its
+// outputs for a while.
+func (n *Replica) StepDown(now time.Time) {
+	n.latestTime = now
+	n.becomeFollower(n.hardState.Term, "", now)
+}
+
 // becomeFollower makes this replica a follower in a term. An empty leader means that the
 // leader is not known yet.
 func (n *Replica) becomeFollower(term uint64, leader ID, now time.Time) {
