Carry out an order of evacuation only while its sender waits

Cause: the newest committed order won, and an order has no version, number or time: a copy that had waited, in a socket, on a link, at an instance or at a leader that changes, looked like a new order.

Change: coltsevacuation numbers the orders that are taken, with those that change nothing. An order carries the newest number that its sender can know, and is refused if another one for the data centre was taken since.

TestEvacuations of coltswire compares the new fields of the state, too.

--- a/coltscontrol/control_evacuation.go
+++ b/coltscontrol/control_evacuation.go
@@ -18,8 +18,15 @@
 	"coltsfootstall/coltswire/coltspb"
 )
 
-// Evacuate commits an order that begins or ends the evacuation of a data centre. It returns a
-// coltsevacuation.InvalidError, and nothing has changed, if the order can't be carried out.
+// NewestEvacuationOrder returns the newest order of evacuation that this instance knows to be taken. A front end
+// tells it to the sender of an order, and passes the order on with what the sender returns: the sender then still
+// waited when this instance knew of all orders up to that one.
+func (c *Control) NewestEvacuationOrder() coltsevacuation.OrderNumber {
+	return c.machine.Evacuations.Current().Newest
+}
+
+// Evacuate commits an order that begins or ends the evacuation of a data centre. Nothing has changed if it returns
+// a coltsevacuation.InvalidError because the order can't be carried out, or a coltsevacuation.SupersededError.
 func (c *Control) Evacuate(ctx context.Context, o coltsevacuation.Order) error {
 	fields := coltslog.Fields{"data-centre": o.DataCentre, "ends": o.Ends}
 	err := o.Validate()
@@ -35,6 +42,12 @@
 		c.log.Info("An order of evacuation was refused.", coltslog.Fields{"data-centre": o.DataCentre, "ends": o.Ends, "reason": err})
 		return err
 	}
+	var superseded *coltsevacuation.SupersededError
+	if errors.As(err, &superseded) {
+		c.log.Info("An order of evacuation was not carried out: a newer one was taken since its sender last waited.",
+			coltslog.Fields{"data-centre": o.DataCentre, "ends": o.Ends, "after": o.After, "newest": superseded.Newest})
+		return err
+	}
 	c.logOutcome("An order of evacuation was submitted.", fields, err)
 	return err
 }
--- a/coltsevacuation/evacuation_register.go
+++ b/coltsevacuation/evacuation_register.go
@@ -26,10 +26,17 @@
 	maxNameBytes = 128
 )
 
+// OrderNumber numbers the orders that a register has taken, from 1.
+type OrderNumber uint64
+
 // Order begins or ends the evacuation of a data centre.
 type Order struct {
 	DataCentre coltsidentity.DataCentre
 	Ends       bool
+	// After is the newest order that had been taken when the sender was last known to wait for this one.
+	// A copy that arrives after a newer order for the data centre is refused. It is nil in orders of
+	// earlier releases, which are carried out however late they arrive.
+	After *OrderNumber
 }
 
 // Validate returns an *InvalidError if no data centre can have the order's name, otherwise nil.
@@ -63,12 +70,27 @@
 	return fmt.Sprintf("data centre %q: %s", e.DataCentre, e.Reason)
 }
 
+// SupersededError reports that an order was not carried out because another one for its data centre may
+// have been confirmed since its sender waited for it.
+type SupersededError struct {
+	DataCentre coltsidentity.DataCentre
+	// Newest is the newest order that the register has taken.
+	Newest OrderNumber
+}
+
+// Error names the data centre and the number of the newest order.
+func (e *SupersededError) Error() string {
+	return fmt.Sprintf("data centre %q: a newer order was taken, at the latest number %d", e.DataCentre, e.Newest)
+}
+
 // Evacuation is the state of a data centre whose evacuation has begun, and perhaps ended.
 type Evacuation struct {
 	DataCentre coltsidentity.DataCentre
 	Ended      bool
 	// ChangedAt is when the newest order that changed something took effect.
 	ChangedAt time.Time
+	// Order is the newest order for the data centre.
+	Order OrderNumber
 }
 
 // State is the content of a register.
@@ -77,6 +99,10 @@
 	Revision uint64
 	// Evacuations are sorted by data centre.
 	Evacuations []Evacuation
+	// Newest is the newest order, which may have changed nothing. NewestUnlisted is the newest one for a
+	// data centre that Evacuations doesn't list.
+	Newest         OrderNumber
+	NewestUnlisted OrderNumber
 }
 
 // Evacuated returns the data centres that are evacuated, sorted.
@@ -109,36 +135,62 @@
 func NewRegister() *Register { return &Register{} }
 
 // Apply carries out an order that takes effect at a time. A start for an evacuated data centre and an
-// end for one that is not evacuated change nothing. It returns an *InvalidError, and changes nothing,
-// for an invalid name and for a start while maxDataCentres are evacuated.
+// end for one that is not evacuated change nothing but the number of orders. It returns an *InvalidError,
+// and changes nothing, for an invalid name and for a start while maxDataCentres are evacuated, and a
+// *SupersededError if a newer order for the data centre was taken than the sender can know.
 func (r *Register) Apply(o Order, at time.Time) error {
 	if err := o.Validate(); err != nil {
 		return err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if s := r.state; o.After != nil && (*o.After < s.newestOrderFor(o.DataCentre) || *o.After > s.Newest) {
+		return &SupersededError{DataCentre: o.DataCentre, Newest: s.Newest}
+	}
 	known, found := r.state.find(o.DataCentre)
+	changed := known
+	changed.DataCentre, changed.Order = o.DataCentre, r.state.Newest+1
 	isEvacuated := found && !known.Ended
-	if isEvacuated != o.Ends {
-		return nil
-	}
-	if !o.Ends && len(r.state.Evacuated()) >= maxDataCentres {
+	switch {
+	case isEvacuated != o.Ends && !found:
+		r.state.Newest, r.state.NewestUnlisted = changed.Order, changed.Order
+	case isEvacuated != o.Ends:
+		r.state = r.state.with(changed)
+	case !o.Ends && len(r.state.Evacuated()) >= maxDataCentres:
 		return &InvalidError{DataCentre: o.DataCentre, Reason: fmt.Sprintf("%d data centres are evacuated already", maxDataCentres)}
+	default:
+		changed.Ended, changed.ChangedAt = o.Ends, at
+		r.state = r.state.with(changed)
+		r.state.Revision++
 	}
-	// The state is replaced and not changed, because Current has given it to others.
-	kept := slices.DeleteFunc(slices.Clone(r.state.Evacuations), func(e Evacuation) bool { return e.DataCentre == o.DataCentre })
-	kept = append(withoutOldest(kept), Evacuation{DataCentre: o.DataCentre, Ended: o.Ends, ChangedAt: at})
-	slices.SortFunc(kept, func(a, b Evacuation) int { return cmp.Compare(a.DataCentre, b.DataCentre) })
-	r.state = State{Revision: r.state.Revision + 1, Evacuations: kept}
 	return nil
 }
 
+// newestOrderFor returns the newest order that may have been taken for a data centre.
+func (s State) newestOrderFor(dc coltsidentity.DataCentre) OrderNumber {
+	if known, found := s.find(dc); found {
+		return known.Order
+	}
+	return s.NewestUnlisted
+}
+
+// with returns the state with the newest order and what it has changed. The evacuations are copied,
+// because Current has given them to others.
+func (s State) with(e Evacuation) State {
+	kept := slices.DeleteFunc(slices.Clone(s.Evacuations), func(k Evacuation) bool { return k.DataCentre == e.DataCentre })
+	kept, dropped := withoutOldest(kept)
+	s.Newest, s.NewestUnlisted = e.Order, max(s.NewestUnlisted, dropped.Order)
+	s.Evacuations = append(kept, e)
+	slices.SortFunc(s.Evacuations, func(a, b Evacuation) int { return cmp.Compare(a.DataCentre, b.DataCentre) })
+	return s
+}
+
 // withoutOldest returns the evacuations without the one that ended longest ago if there is no place for
-// another. Its end may be a short time ago, which costs only that gateways without contact at that time
-// take it to have ended later: an order is not refused for that.
-func withoutOldest(evacuations []Evacuation) []Evacuation {
+// another, and the one that was dropped. Its end may be a short time ago, which costs only that gateways
+// without contact at that time take it to have ended later: an order is not refused for that.
+func withoutOldest(evacuations []Evacuation) (kept []Evacuation, dropped Evacuation) {
 	if len(evacuations) < maxDataCentres {
-		return evacuations
+		return evacuations, Evacuation{}
 	}
 	oldest := -1
 	for i, e := range evacuations {
@@ -147,9 +199,10 @@
 		}
 	}
 	if oldest < 0 {
-		return evacuations
+		return evacuations, Evacuation{}
 	}
-	return slices.Delete(evacuations, oldest, oldest+1)
+	dropped = evacuations[oldest]
+	return slices.Delete(evacuations, oldest, oldest+1), dropped
 }
 
 // Current returns the register's state, which the caller must not change.
--- a/coltsevacuation/evacuation_test.go
+++ b/coltsevacuation/evacuation_test.go
@@ -189,3 +189,69 @@
 		assert.Equal(t, begun.KeepTimes(endedAt(0)).Evacuations[0].ChangedAt, at(1))
 	})
 }
+
+// after returns an order whose sender knew of the first n orders when it was last known to wait.
+func after(n int, o Order) Order {
+	number := OrderNumber(n)
+	o.After = &number
+	return o
+}
+
+// assertSuperseded asserts that a register refuses an order as overtaken and stays as it is.
+func assertSuperseded(t *testing.T, r *Register, o Order) {
+	t.Helper()
+	before := r.Current()
+	var superseded *SupersededError
+	assert.Assert(t, errors.As(r.Apply(o, at(99)), &superseded), "%v", o)
+	assert.DeepEqual(t, *superseded, SupersededError{DataCentre: o.DataCentre, Newest: before.Newest})
+	assert.DeepEqual(t, r.Current(), before)
+}
+
+// assertTaken asserts that a register takes an order and numbers it.
+func assertTaken(t *testing.T, r *Register, o Order, number int) {
+	t.Helper()
+	assert.NilError(t, r.Apply(o, at(99)))
+	assert.Equal(t, r.Current().Newest, OrderNumber(number))
+}
+
+// TestSuperseded guards against a copy of an order that waited somewhere and undoes one that was confirmed
+// after its sender had given it up (review/6).
+func TestSuperseded(t *testing.T) {
+	t.Run("a late copy does not undo a newer order", func(t *testing.T) {
+		assertSuperseded(t, registerAfter(t, start("z1"), end("z1"), start("z1")), after(1, end("z1")))
+		assertSuperseded(t, registerAfter(t, start("z1"), end("z1")), after(0, start("z1")))
+	})
+	t.Run("a newer order that changed nothing counts as well", func(t *testing.T) {
+		assertSuperseded(t, registerAfter(t, start("z1"), end("z1"), end("z1")), after(2, start("z1")))
+		assertSuperseded(t, registerAfter(t, end("z1")), after(0, start("z1")))
+	})
+	t.Run("an order that comes twice is carried out once", func(t *testing.T) {
+		r := registerAfter(t, start("z1"))
+		assertTaken(t, r, after(1, end("z1")), 2)
+		assertSuperseded(t, r, after(1, end("z1")))
+	})
+	t.Run("orders for other data centres don't matter", func(t *testing.T) {
+		assertTaken(t, registerAfter(t, start("z1"), start("z2"), end("z3")), after(1, end("z1")), 4)
+	})
+	t.Run("an order of a sender that knows all is carried out", func(t *testing.T) {
+		assertTaken(t, registerAfter(t, start("z1"), end("z1")), after(2, start("z1")), 3)
+		assertTaken(t, NewRegister(), after(0, end("z1")), 1)
+	})
+	t.Run("a number that no order has is refused", func(t *testing.T) {
+		assertSuperseded(t, registerAfter(t, start("z1")), after(2, end("z1")))
+	})
+	t.Run("orders for data centres that have lost their place are remembered together", func(t *testing.T) {
+		r := NewRegister()
+		for i, name := range names(maxDataCentres) {
+			assert.NilError(t, r.Apply(start(name), at(i)))
+		}
+		assertTaken(t, r, end("z00"), maxDataCentres+1)
+		assertTaken(t, r, start("z99"), maxDataCentres+2)
+		assertSuperseded(t, r, after(maxDataCentres, end("z00")))
+		assertSuperseded(t, r, after(maxDataCentres, end("another")))
+		assertTaken(t, r, after(maxDataCentres+1, end("another")), maxDataCentres+3)
+	})
+	t.Run("an order of an earlier release is carried out", func(t *testing.T) {
+		assertTaken(t, registerAfter(t, start("z1"), end("z1")), start("z1"), 3)
+	})
+}
--- a/coltswire/wire_evacuation.go
+++ b/coltswire/wire_evacuation.go
@@ -13,32 +13,40 @@
 )
 
 func encodeEvacuationOrder(o coltsevacuation.Order) *coltspb.EvacuationOrder {
-	return &coltspb.EvacuationOrder{DataCentre: string(o.DataCentre), Ends: o.Ends}
+	return &coltspb.EvacuationOrder{DataCentre: string(o.DataCentre), Ends: o.Ends, After: (*uint64)(o.After)}
 }
 
 func decodeEvacuationOrder(m *coltspb.EvacuationOrder) coltsevacuation.Order {
-	return coltsevacuation.Order{DataCentre: coltsidentity.DataCentre(m.GetDataCentre()), Ends: m.GetEnds()}
+	return coltsevacuation.Order{
+		DataCentre: coltsidentity.DataCentre(m.GetDataCentre()), Ends: m.GetEnds(), After: (*coltsevacuation.OrderNumber)(m.After),
+	}
 }
 
 // EncodeEvacuations returns the protobuf message for the evacuations, or nil if there was no order yet.
 func EncodeEvacuations(s coltsevacuation.State) *coltspb.Evacuations {
-	if s.Revision == 0 {
+	if s.Newest == 0 && s.Revision == 0 {
 		return nil
 	}
 	return &coltspb.Evacuations{
-		Revision: s.Revision,
+		Revision: s.Revision, Orders: uint64(s.Newest), UnlistedOrder: uint64(s.NewestUnlisted),
 		DataCentres: convert(s.Evacuations, func(e coltsevacuation.Evacuation) *coltspb.Evacuation {
-			return &coltspb.Evacuation{DataCentre: string(e.DataCentre), Ended: e.Ended, ChangedAt: EncodeTime(e.ChangedAt)}
+			return &coltspb.Evacuation{
+				DataCentre: string(e.DataCentre), Ended: e.Ended, ChangedAt: EncodeTime(e.ChangedAt), Order: uint64(e.Order),
+			}
 		}),
 	}
 }
 
 // DecodeEvacuations is the inverse of EncodeEvacuations.
 func DecodeEvacuations(m *coltspb.Evacuations) coltsevacuation.State {
-	s := coltsevacuation.State{Revision: m.GetRevision()}
+	s := coltsevacuation.State{
+		Revision: m.GetRevision(), Newest: coltsevacuation.OrderNumber(m.GetOrders()),
+		NewestUnlisted: coltsevacuation.OrderNumber(m.GetUnlistedOrder()),
+	}
 	for _, e := range m.GetDataCentres() {
 		s.Evacuations = append(s.Evacuations, coltsevacuation.Evacuation{
 			DataCentre: coltsidentity.DataCentre(e.GetDataCentre()), Ended: e.GetEnded(), ChangedAt: DecodeTime(e.GetChangedAt()),
+			Order: coltsevacuation.OrderNumber(e.GetOrder()),
 		})
 	}
 	return s
--- a/coltswire/wire_evacuation_test.go
+++ b/coltswire/wire_evacuation_test.go
@@ -45,13 +45,25 @@
 	assert.NilError(t, applyOrder(t, m, now, coltsevacuation.Order{DataCentre: "z1"}))
 	assert.NilError(t, applyOrder(t, m, now.Add(time.Second), coltsevacuation.Order{DataCentre: "z2"}))
 	assert.NilError(t, applyOrder(t, m, now.Add(2*time.Second), coltsevacuation.Order{DataCentre: "z1", Ends: true}))
+	assert.NilError(t, applyOrder(t, m, now.Add(2*time.Second), coltsevacuation.Order{DataCentre: "z3", Ends: true}))
 	t.Run("orders in the log keep their time and survive in a snapshot", func(t *testing.T) {
-		want := coltsevacuation.State{Revision: 3, Evacuations: []coltsevacuation.Evacuation{
-			{DataCentre: "z1", Ended: true, ChangedAt: now.Add(2 * time.Second)}, {DataCentre: "z2", ChangedAt: now.Add(time.Second)},
+		want := coltsevacuation.State{Revision: 3, Newest: 4, NewestUnlisted: 4, Evacuations: []coltsevacuation.Evacuation{
+			{DataCentre: "z1", Ended: true, ChangedAt: now.Add(2 * time.Second), Order: 3},
+			{DataCentre: "z2", ChangedAt: now.Add(time.Second), Order: 2},
 		}}
 		assert.DeepEqual(t, m.Evacuations.Current(), want)
 		assert.DeepEqual(t, reloaded(t, m).Evacuations.Current(), want)
 	})
+	t.Run("a copy of an order that was overtaken is told apart, also by a restored instance", func(t *testing.T) {
+		after := coltsevacuation.OrderNumber(2)
+		late := coltsevacuation.Order{DataCentre: "z1", After: &after}
+		want := &coltsevacuation.SupersededError{DataCentre: "z1", Newest: 4}
+		for _, m := range []*coltsstate.Machine{m, reloaded(t, m)} {
+			err := applyOrder(t, m, now, late)
+			assert.DeepEqual(t, err, want)
+			assert.DeepEqual(t, DecodeRefusal(EncodeRefusal(err)), want)
+		}
+	})
 	t.Run("the refusal of an order keeps its type and fields", func(t *testing.T) {
 		err := applyOrder(t, m, now, coltsevacuation.Order{DataCentre: coltsidentity.DataCentre("z\n")})
 		assert.DeepEqual(t, DecodeRefusal(EncodeRefusal(err)), err)
--- a/coltswire/wire_refusal.go
+++ b/coltswire/wire_refusal.go
@@ -25,6 +25,7 @@
 	refusalKeyReused     = "key-reused"
 	refusalNotHolder     = "not-holder"
 	refusalEvacuation    = "evacuation"
+	refusalSuperseded    = "superseded"
 	refusalOther         = "other"
 )
 
@@ -44,6 +45,10 @@
 	if errors.As(err, &evacuation) {
 		return &coltspb.Refusal{Kind: refusalEvacuation, Key: string(evacuation.DataCentre), Reason: evacuation.Reason}
 	}
+	var superseded *coltsevacuation.SupersededError
+	if errors.As(err, &superseded) {
+		return &coltspb.Refusal{Kind: refusalSuperseded, Key: string(superseded.DataCentre), Revision: uint64(superseded.Newest)}
+	}
 	return &coltspb.Refusal{Kind: refusalOther, Reason: err.Error()}
 }
 
@@ -143,6 +148,10 @@
 		}
 	case refusalEvacuation:
 		return &coltsevacuation.InvalidError{DataCentre: coltsidentity.DataCentre(m.GetKey()), Reason: m.GetReason()}
+	case refusalSuperseded:
+		return &coltsevacuation.SupersededError{
+			DataCentre: coltsidentity.DataCentre(m.GetKey()), Newest: coltsevacuation.OrderNumber(m.GetRevision()),
+		}
 	}
 	return errors.New(m.GetReason())
 }
