Refuse a change of the control group that waited while the group changed

What operators would have seen: a member of the control group that they have added again is removed, or one that they have removed is added, by a copy of a step that waited at a frozen instance while it was sent again elsewhere. Found by going through all orders for copies that come late (docs/design/late-orders.md); not seen.

Cause: a step names a member and nothing that says which group the operator saw.

Change: the command replica asks for the status first and sends the index of the newest configuration with the step; the leader refuses the step if its own index differs. Steps of earlier releases carry none and are taken as before.

--- a/coltscommand/command_replica.go
+++ b/coltscommand/command_replica.go
@@ -54,11 +54,15 @@
 	}
 	var reply *coltspb.ChangeReplicasReply
 	err = callControl(ctx, c, callTimeout, func(ctx context.Context, client coltspbconnect.ControlClient) error {
-		var err error
+		status, err := client.Status(ctx, &coltspb.StatusRequest{})
+		if err != nil {
+			return err
+		}
 		reply, err = client.ChangeReplicas(ctx, &coltspb.ChangeReplicasRequest{
 			Step:        step,
 			Member:      c.Args().First(),
 			OperatorKey: key,
+			After:       &status.ConfigurationIndex,
 		})
 		return err
 	})
--- a/coltscontrol/control_server.go
+++ b/coltscontrol/control_server.go
@@ -228,6 +228,8 @@
 		Leader:        string(v.leader),
 		Term:          v.term,
 		Configuration: coltswire.EncodeConfiguration(v.configuration),
+
+		ConfigurationIndex: v.configurationIndex,
 	}, nil
 }
 
@@ -251,16 +253,30 @@
 	if !known {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.Errorf("unknown step %q", r.GetStep()))
 	}
-	member := coltsidentity.Instance(r.GetMember())
-	err = s.c.driver.changeGroup(ctx, func(replica *coltsreplica.Replica) error { return step(replica, member) })
+	err = s.c.changeMembership(ctx, step, coltsidentity.Instance(r.GetMember()), r.After)
 	return &coltspb.ChangeReplicasReply{
 		Configuration: coltswire.EncodeConfiguration(s.c.driver.view.Load().configuration),
 		Refusal:       coltswire.EncodeRefusal(err),
 	}, nil
 }
 
+// changeMembership carries out a step of an operator who has seen the group as of the configuration index
+// after, nil if that is not known. It returns a coltsreplica.MembershipChangeError if the group has changed
+// since: the step may be a copy that waited while the operator took others.
+func (c *Control) changeMembership(ctx context.Context, step membershipStep, member coltsidentity.Instance, after *uint64) error {
+	return c.driver.changeGroup(ctx, func(replica *coltsreplica.Replica) error {
+		if after != nil && *after != replica.ConfigurationIndex() {
+			return &coltsreplica.MembershipChangeError{Member: member, Reason: "the group has changed since it was looked at"}
+		}
+		return step(replica, member)
+	})
+}
+
+// membershipStep proposes a membership change.
+type membershipStep func(*coltsreplica.Replica, coltsidentity.Instance) error
+
 // membershipSteps maps the name of each membership change to the method that proposes it.
-var membershipSteps = map[string]func(*coltsreplica.Replica, coltsidentity.Instance) error{
+var membershipSteps = map[string]membershipStep{
 	"add":     (*coltsreplica.Replica).AddLearner,
 	"promote": (*coltsreplica.Replica).Promote,
 	"remove":  (*coltsreplica.Replica).Remove,
--- a/coltscontrol/driver_output.go
+++ b/coltscontrol/driver_output.go
@@ -164,6 +164,8 @@
 		leaseUntil:     d.replica.LeaseUntil(),
 		confirmedUntil: d.replica.ConfirmedUntil(),
 		configuration:  d.replica.Configuration(),
+
+		configurationIndex: d.replica.ConfigurationIndex(),
 	}
 	old := d.view.Load()
 	v.caughtUp = old != nil && old.caughtUp || v.leader != "" && d.appliedTerm == v.term
--- a/coltscontrol/replica_driver.go
+++ b/coltscontrol/replica_driver.go
@@ -103,8 +103,9 @@
 	confirmedUntil time.Time
 	leaderSince    time.Time
 	// diskFailed is set while the disk refuses writes; the replica then takes no part in the group.
-	diskFailed    bool
-	configuration coltsreplica.Configuration
+	diskFailed         bool
+	configuration      coltsreplica.Configuration
+	configurationIndex uint64
 }
 
 // openDriver returns a driver whose replica is restored from disk.
--- a/coltsreplica/replica.go
+++ b/coltsreplica/replica.go
@@ -248,6 +248,10 @@
 // Configuration returns the newest configuration in the log, which may be uncommitted.
 func (n *Replica) Configuration() Configuration { return n.log.configuration }
 
+// ConfigurationIndex returns the index of the newest configuration in the log, or the last index that was
+// compacted if that is higher. It differs after each change of the configuration.
+func (n *Replica) ConfigurationIndex() uint64 { return n.log.configurationIndex }
+
 // ConfigurationCommitted reports whether the newest configuration in the log is committed.
 func (n *Replica) ConfigurationCommitted() bool { return n.log.configurationIndex <= n.commitIndex }
 
