Share no cached parts by a config that control has not confirmed

What callers would have seen: nothing.

Cause: such an instance gives what it has, so that gateways serve at once, and doesn't say that it may know less than what was acknowledged.

Change: a reply says whether its sender has applied what was committed before its start. A gateway whose config came from one that has not gives each organisation a scope of its own until a later reply confirms the config. Gateways that run on keep their newer config and share as before.

Evidence: TestUnconfirmedRoutes fails without the condition ("v1-g1" for "v1/acme"). TestUnconfirmedReplies shows when control says so.

--- a/coltscontrol/registry_loop.go
+++ b/coltscontrol/registry_loop.go
@@ -239,6 +239,7 @@
 		s.addStoreOffers(reply)
 		return reply, hasChanges
 	}
+	reply.Unconfirmed = !s.c.driver.view.Load().caughtUp
 	if encoded := s.c.routes.Load(); uint64(encoded.Version) > r.GetRoutesVersion() {
 		reply.Routes = coltswire.EncodeRouteTable(*encoded)
 		hasChanges = true
--- a/coltsgateway/control_reply.go
+++ b/coltsgateway/control_reply.go
@@ -121,6 +121,9 @@
 func (w *controlWatcher) applyRoutes(reply *coltspb.WatchReply) {
 	encoded := reply.GetRoutes()
 	if encoded == nil {
+		if !reply.GetUnconfirmed() {
+			w.g.routesUnconfirmed.Store(false)
+		}
 		return
 	}
 	table, err := w.g.dialect.DecodeTable(encoded.GetSource())
@@ -137,6 +140,8 @@
 	before := w.g.routes.Version()
 	if table.Version > before {
 		w.g.balancer.SetColdDurations(table.ColdDurations())
+		// Before the table is in force.
+		w.g.routesUnconfirmed.Store(reply.GetUnconfirmed())
 	}
 	if w.g.routes.Put(table) {
 		w.g.routesChanged.Broadcast()
--- a/coltsgateway/forward_transfers.go
+++ b/coltsgateway/forward_transfers.go
@@ -6,6 +6,7 @@
 	"net/netip"
 
 	"coltsfootstall/coltsforward"
+	"coltsfootstall/coltsroute"
 	"coltsfootstall/coltsstore"
 	"coltsfootstall/coltsweights"
 )
@@ -47,7 +48,13 @@
 
 // cacheScopeOf returns the scope of cached parts at a runner with a weights version. It follows from the
 // newest route table, not from the one that the request was matched against, which may share what is
-// isolated by now.
+// isolated by now. After a start of the whole system the newest table that is known may do so, too: nothing is
+// shared until control has confirmed it.
 func (f *forwarding) cacheScopeOf(n coltsweights.Number) string {
-	return coltsforward.CacheScope{Weights: n, CacheScope: f.g.routes.Current().CacheScope(f.lifecycle.Organisation.Name)}.String()
+	organisation := f.lifecycle.Organisation.Name
+	scope := coltsforward.CacheScope{Weights: n, CacheScope: f.g.routes.Current().CacheScope(organisation)}
+	if f.g.routesUnconfirmed.Load() {
+		scope.CacheScope = coltsroute.CacheScope{Private: true, Organisation: organisation}
+	}
+	return scope.String()
 }
--- a/coltsgateway/gateway.go
+++ b/coltsgateway/gateway.go
@@ -62,7 +62,11 @@
 	latency   *latencies
 	startedAt time.Time
 
-	routes   *coltsroute.Register
+	routes *coltsroute.Register
+	// routesUnconfirmed is set while the route table in force is from a control instance that may know
+	// less than what was acknowledged before its start.
+	routesUnconfirmed atomic.Bool
+
 	weights  *coltsweights.Register
 	balancer *coltsbalance.Balancer
 	stores   *coltsstore.Directory
