--- a/coltscontrol/control_evacuation.go
+++ b/coltscontrol/control_evacuation.go
@@ -45,7 +45,7 @@
 	var superseded *coltsevacuation.SupersededError
 	if errors.As(err, &superseded) {
 		c.log.Info("An order of evacuation was not carried out: a newer one was taken since its sender last waited.",
-			coltslog.Fields{"data-centre": o.DataCentre, "ends": o.Ends, "after": o.After, "newest": superseded.Newest})
+			coltslog.Fields{"data-centre": o.DataCentre, "ends": o.Ends, "after": *o.After, "newest": superseded.Newest})
 		return err
 	}
 	c.logOutcome("An order of evacuation was submitted.", fields, err)
--- a/coltscontrol/group_loop.go
+++ b/coltscontrol/group_loop.go
@@ -44,6 +44,7 @@
 		}
 		switch v := c.driver.view.Load(); {
 		case v.diskFailed:
+			// Neither can succeed.
 		case v.isLeader:
 			c.reconcileGroup(ctx)
 		case !slices.Contains(v.configuration.Members(), c.replicaID) || !c.stateFresh():
--- a/coltsreplica/replica.go
+++ b/coltsreplica/replica.go
@@ -363,29 +363,6 @@
 	return n.log.configurationUpTo(index)
 }
 
-// Progress is a follower's replication state as seen by the leader.
-type Progress struct {
-	ID ID
-	// MatchIndex is the highest index up to which its log is known to match the leader's.
-	MatchIndex uint64
-	// LastReplyAt is when it last replied, or when the leader added it if it has not replied
-	// yet.
-	LastReplyAt time.Time
-}
-
-// Followers returns the progress of the other members, sorted by ID. It returns nil if
-// this replica is not the leader.
-func (n *Replica) Followers() []Progress {
-	if n.role != RoleLeader {
-		return nil
-	}
-	all := make([]Progress, 0, len(n.followers))
-	for id, f := range n.followersByID() {
-		all = append(all, Progress{ID: id, MatchIndex: f.matchIndex, LastReplyAt: f.lastReplyAt})
-	}
-	return all
-}
-
 // TermAt returns the term of an entry, and false if the log does not contain the entry.
 func (n *Replica) TermAt(index uint64) (uint64, bool) {
 	return n.log.term(index)
