Replace an unconfirmed config and its mark in one step

What callers would have seen: nothing. After a start of all processes a gateway whose config was not confirmed took a newer, confirmed one; for the moment that it took to index the new one, requests used the common scope of the old one, in which an organisation that is isolated by now may have kept parts. Found by reading; not seen.

Cause: the mark was cleared before the newer config was in force. No order of the two is right, for the mark is set and cleared.

Change: the mark is part of the table that the register holds, so one load gives both.

--- a/coltsgateway/control_reply.go
+++ b/coltsgateway/control_reply.go
@@ -122,12 +122,13 @@
 	encoded := reply.GetRoutes()
 	if encoded == nil {
 		if !reply.GetUnconfirmed() {
-			w.g.routesUnconfirmed.Store(false)
+			w.g.routes.Confirm()
 		}
 		return
 	}
 	table, err := w.g.dialect.DecodeTable(encoded.GetSource())
 	table.CacheGeneration = coltsroute.CacheGeneration(encoded.GetCacheGeneration())
+	table.Unconfirmed = reply.GetUnconfirmed()
 	if err == nil {
 		err = table.Validate()
 	}
@@ -140,8 +141,6 @@
 	before := w.g.routes.Version()
 	if table.Version > before {
 		w.g.balancer.SetColdDurations(table.ColdDurations())
-		// Before the table is in force.
-		w.g.routesUnconfirmed.Store(reply.GetUnconfirmed())
 	}
 	if w.g.routes.Put(table) {
 		w.g.routesChanged.Broadcast()
--- a/coltsgateway/control_unconfirmed_test.go
+++ b/coltsgateway/control_unconfirmed_test.go
@@ -1,12 +1,16 @@
 package coltsgateway
 
 import (
+	"slices"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"coltsfootstall/coltsforward"
+	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltsroute"
 	"coltsfootstall/coltswire/coltspb"
 )
@@ -18,16 +22,43 @@
 		reply.Routes = &coltspb.RoutesText{Version: uint64(version), CacheGeneration: uint64(version)}
 	}
 	w.g.dialect.DecodeTable = func([]byte) (coltsroute.Table, error) {
-		return coltsroute.Table{Version: version, Organisations: []coltsroute.Organisation{{Name: "acme"}}}, nil
+		table := coltsroute.Table{Version: version, Organisations: []coltsroute.Organisation{{Name: "acme"}}}
+		for i := range 10_000 { // so that the table takes a while to be put in force
+			name := coltsidentity.Organisation(strconv.Itoa(i))
+			table.Organisations = append(table.Organisations, coltsroute.Organisation{Name: name})
+		}
+		return table, nil
 	}
 	w.applyRoutes(reply)
 }
 
-// assertScope asserts the cache scope of a request of acme.
+// scopeOfAcme returns the cache scope of a request of acme.
+func scopeOfAcme(w *controlWatcher) string {
+	f := &forwarding{g: w.g, lifecycle: &coltsforward.Request{Organisation: coltsroute.Organisation{Name: "acme"}}}
+	return f.cacheScopeOf(1)
+}
+
 func assertScope(t *testing.T, w *controlWatcher, want string) {
 	t.Helper()
-	f := &forwarding{g: w.g, lifecycle: &coltsforward.Request{Organisation: coltsroute.Organisation{Name: "acme"}}}
-	assert.Equal(t, f.cacheScopeOf(1), want)
+	assert.Equal(t, scopeOfAcme(w), want)
+}
+
+// scopesMeanwhile returns the cache scopes of requests of acme that come while change runs.
+func scopesMeanwhile(w *controlWatcher, change func()) []string {
+	var changed atomic.Bool
+	found := make(chan []string)
+	go func() {
+		var scopes []string
+		for !changed.Load() {
+			if scope := scopeOfAcme(w); !slices.Contains(scopes, scope) {
+				scopes = append(scopes, scope)
+			}
+		}
+		found <- scopes
+	}()
+	change()
+	changed.Store(true)
+	return <-found
 }
 
 // TestUnconfirmedRoutes guards against requests that use what an organisation kept before it was isolated,
@@ -57,4 +88,9 @@
 		receiveRoutes(w, 3, false)
 		assertScope(t, w, "v1-g3")
 	})
+	t.Run("a request meanwhile doesn't use the scope of the one that was not confirmed", func(t *testing.T) {
+		receiveRoutes(w, 4, true)
+		scopes := scopesMeanwhile(w, func() { receiveRoutes(w, 5, false) })
+		assert.Assert(t, !slices.Contains(scopes, "v1-g4"), "scopes: %v", scopes)
+	})
 }
--- a/coltsgateway/forward_transfers.go
+++ b/coltsgateway/forward_transfers.go
@@ -6,7 +6,6 @@
 	"net/netip"
 
 	"coltsfootstall/coltsforward"
-	"coltsfootstall/coltsroute"
 	"coltsfootstall/coltsstore"
 	"coltsfootstall/coltsweights"
 )
@@ -51,10 +50,6 @@
 // isolated by now. After a start of the whole system the newest table that is known may do so, too: nothing is
 // shared until control has confirmed it.
 func (f *forwarding) cacheScopeOf(n coltsweights.Number) string {
-	organisation := f.lifecycle.Organisation.Name
-	scope := coltsforward.CacheScope{Weights: n, CacheScope: f.g.routes.Current().CacheScope(organisation)}
-	if f.g.routesUnconfirmed.Load() {
-		scope.CacheScope = coltsroute.CacheScope{Private: true, Organisation: organisation}
-	}
-	return scope.String()
+	shared := f.g.routes.Current().CacheScope(f.lifecycle.Organisation.Name)
+	return coltsforward.CacheScope{Weights: n, CacheScope: shared}.String()
 }
--- a/coltsgateway/gateway.go
+++ b/coltsgateway/gateway.go
@@ -62,11 +62,7 @@
 	latency   *latencies
 	startedAt time.Time
 
-	routes *coltsroute.Register
-	// routesUnconfirmed is set while the route table in force is from a control instance that may know
-	// less than what was acknowledged before its start.
-	routesUnconfirmed atomic.Bool
-
+	routes   *coltsroute.Register
 	weights  *coltsweights.Register
 	balancer *coltsbalance.Balancer
 	stores   *coltsstore.Directory
--- a/coltsroute/route_cache_sharing.go
+++ b/coltsroute/route_cache_sharing.go
@@ -28,10 +28,11 @@
 
 // CacheScope returns the scope for the requests of an organisation, or for those without one if the name
 // is empty. An organisation that the table doesn't list any more may be isolated in a later one, so it
-// shares nothing.
+// shares nothing, and neither does any organisation by a table that is not confirmed.
 func (ix *Index) CacheScope(name coltsidentity.Organisation) CacheScope {
 	o, listed := ix.byName[name]
-	if o.Isolated || !listed && name != "" {
+	isUnlisted := !listed && name != ""
+	if o.Isolated || isUnlisted || ix.Table.Unconfirmed {
 		return CacheScope{Private: true, Organisation: name}
 	}
 	return CacheScope{Generation: ix.Table.CacheGeneration}
--- a/coltsroute/route_cache_sharing_test.go
+++ b/coltsroute/route_cache_sharing_test.go
@@ -93,4 +93,12 @@
 		assert.Equal(t, scopeIn("c", "c"), CacheScope{Private: true, Organisation: "c"})
 		assert.Equal(t, scopeIn("gone"), CacheScope{Private: true, Organisation: "gone"})
 	})
+	t.Run("nobody shares anything by a table that is not confirmed", func(t *testing.T) {
+		r := NewRegister()
+		r.Put(Table{Version: 1, Organisations: []Organisation{{Name: "a"}}, CacheGeneration: 3, Unconfirmed: true})
+		assert.Equal(t, r.Current().CacheScope("a"), CacheScope{Private: true, Organisation: "a"})
+		assert.Equal(t, r.Current().CacheScope(""), CacheScope{Private: true})
+		r.Confirm()
+		assert.Equal(t, r.Current().CacheScope("a"), common)
+	})
 }
--- a/coltsroute/route_register.go
+++ b/coltsroute/route_register.go
@@ -58,3 +58,16 @@
 	r.current.Store(NewIndex(t))
 	return true
 }
+
+// Confirm marks the current table, if there is one, as confirmed.
+func (r *Register) Confirm() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ix := r.current.Load()
+	if ix == nil || !ix.Table.Unconfirmed {
+		return
+	}
+	confirmed := *ix
+	confirmed.Table.Unconfirmed = false
+	r.current.Store(&confirmed)
+}
--- a/coltsroute/route_table.go
+++ b/coltsroute/route_table.go
@@ -44,6 +44,9 @@
 	RequiresKey bool
 	// CacheGeneration is that of the common cache scope. It is not part of the text.
 	CacheGeneration CacheGeneration
+	// Unconfirmed is set if the table is from a control instance that may know less than what was
+	// acknowledged before its start. It is not part of the text.
+	Unconfirmed bool
 	// Source is the text that the table was decoded from.
 	Source []byte
 }
