Take back crashes that a request did not cause, and try what is refused

Cause: every request in progress at an upstream that crashes is charged with the crash. Control added up what all gateways charged, and only the gateway that served the request to its end took its own charges back. A request that is asked often has three charges soon, is refused, does not run any more, and so can't be cleared.

Change: crashes carry their times. A success at any gateway takes back all crashes before it, at every instance, also those that are reported later; crashes within 100 ms of each other count once unless the request was sent again in between; the processes that crashed on a blocked part are named to all gateways and count for no request. What is refused gets a trial: after 10 s one gateway, granted by the leader, sends one such request to one upstream without a retry; a success clears it everywhere, a crash makes the next trial come four times later. Retry-After is the time of the trial. The OpenAI-style entry does the same with its peers.

TestPoison, TestQuarantine and TestPoisonPart are unchanged and pass: a request that crashes what it runs on never succeeds.

--- a/coltscommand/command_suspects.go
+++ b/coltscommand/command_suspects.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
@@ -67,7 +68,7 @@
 		return errors.Wrapf(err, "call instance %s", m.ID)
 	}
 	for _, message := range reply.GetSuspects() {
-		s := coltswire.DecodeSuspect(message)
+		s := coltswire.DecodeSuspect(message, time.Now())
 		_, err := fmt.Fprintf(c.Writer, "%s  %s  crashed %v\n", m.ID, s.Fingerprint, s.Upstreams)
 		if err != nil {
 			return err
--- a/coltscontrol/control.go
+++ b/coltscontrol/control.go
@@ -175,7 +175,7 @@
 
 		catalogue: coltsstore.NewCatalogue(),
 		loads:     coltsbalance.NewLoads(),
-		suspects:  coltsattempt.NewQuarantine(coltsattempt.QuarantineConfig{}),
+		suspects:  coltsattempt.NewQuarantine(coltsattempt.QuarantineConfig{Crashes: coltsattempt.GatewayCrashes}),
 		poison:    coltspoison.NewRegister(),
 		registry:  coltsregistry.NewRegistry(coltsregistry.Config{SilentAfter: cfg.Settings.Control.SilentAfter}),
 	}
--- a/coltscontrol/registry_loop.go
+++ b/coltscontrol/registry_loop.go
@@ -76,22 +76,6 @@
 	}
 }
 
-// sweepPoison decides again which parts of prompts are blocked.
-func (c *Control) sweepPoison() {
-	now := c.cfg.Now()
-	for _, decision := range c.poison.Sweep(now) {
-		fields := coltslog.Fields{
-			"model": decision.Part.Model, "part": decision.Part.ID, "until": decision.Until,
-			"upstreams": decision.Crashed, "first-crash-ago-ms": now.Sub(decision.FirstCrashAt).Milliseconds(),
-			"others-answered-ago-ms": now.Sub(decision.OthersAnsweredAt).Milliseconds(),
-		}
-		if !decision.AnsweredAt.IsZero() {
-			fields["answered-ago-ms"] = now.Sub(decision.AnsweredAt).Milliseconds()
-		}
-		c.log.Warn("A part of prompts crashes upstreams; prompts with it are refused.", fields)
-	}
-}
-
 // registryMirror mirrors the leader's registry. source identifies the registry, revision is the
 // newest of its revisions that was fetched.
 type registryMirror struct {
@@ -273,40 +257,11 @@
 }
 
 const (
-	// maxSuspects is the greatest number of suspects in one reply.
-	maxSuspects = 64
-	// minSharedCrashes is the number of crashes from which a suspect is sent to entries.
-	minSharedCrashes = 2
 	// maxStoreChanges is the greatest number of store changes in one reply. Longer replies could
 	// take an entry with a slow link longer than it waits.
 	maxStoreChanges = 1500
 )
 
-// mergeSuspects records the requests that an entry saw running on upstreams that crashed.
-func (s *controlServer) mergeSuspects(r *coltspb.WatchRequest) {
-	for _, m := range r.GetSuspects() {
-		suspect := coltswire.DecodeSuspect(m)
-		if s.c.suspects.Merge(suspect, s.c.cfg.Now()) {
-			s.c.log.Info("A request was running on an upstream that crashed.", coltslog.Fields{
-				"fingerprint": suspect.Fingerprint, "upstreams": suspect.Upstreams, "entry": r.GetMember().GetId(),
-			})
-			s.c.watchChanged.Broadcast()
-		}
-	}
-}
-
-// sharedSuspects returns the suspects of at least minSharedCrashes crashes. Most requests with fewer
-// were only running at the same time as the one that caused the crash.
-func (s *controlServer) sharedSuspects() []*coltspb.Suspect {
-	var shared []*coltspb.Suspect
-	for _, suspect := range s.c.suspects.SuspectsWithCrashes(minSharedCrashes, s.c.cfg.Now()) {
-		if len(shared) < maxSuspects {
-			shared = append(shared, coltswire.EncodeSuspect(suspect))
-		}
-	}
-	return shared
-}
-
 // addLeaderState adds the state that only the leader has: loads, store contents and suspects. It
 // reports whether the reply should be sent without further waiting, which is so only while an entry
 // receives the whole catalogue. Loads change all the time, so they are only sent along with other replies.
@@ -317,7 +272,7 @@
 	reply.Leads = true
 	now := s.c.cfg.Now()
 	reply.Loads = coltswire.EncodeLoads(s.c.loads.Others(coltsidentity.Instance(r.GetMember().GetId()), now), now)
-	reply.Suspects = s.sharedSuspects()
+	reply.Suspects = s.sharedSuspects(now)
 	coltswire.AddPoisonVerdict(reply, s.c.poison.Verdict(), now)
 	// An entry goes on with what it has until the catalogue is complete.
 	if !s.c.catalogue.Complete() {
--- a/coltsentry/entry.go
+++ b/coltsentry/entry.go
@@ -157,7 +157,7 @@
 		MaxQueueWait:      e.settings.MaxQueueWait,
 		KeepCache:         e.settings.KeepCache,
 		ObserveFirstToken: e.observeFirstToken,
-		OnCrash:           func(s coltsattempt.Suspect) { e.peers.gossipSuspect(s) },
+		OnSuspect:         func(s coltsattempt.Suspect) { e.peers.gossipSuspect(s) },
 	})
 }
 
--- a/coltsentry/peer_link.go
+++ b/coltsentry/peer_link.go
@@ -153,20 +153,20 @@
 	var messages []*coltspb.Suspect
 	for _, s := range l.e.quarantine.Suspects(l.e.cfg.Now()) {
 		if len(messages) < maxSuspects {
-			messages = append(messages, coltswire.EncodeSuspect(s))
+			messages = append(messages, coltswire.EncodeSuspect(s, l.e.cfg.Now()))
 		}
 	}
 	return messages
 }
 
-// gossipSuspect sends a new suspect to random peers at once, without gossipDelay, since
+// gossipSuspect sends a suspect that has changed to random peers at once, without gossipDelay, since
 // the caller may already be retrying the request at another entry. A peer that did
-// not know of the suspect forwards it in turn.
+// not know of the change forwards it in turn.
 func (l *peerLink) gossipSuspect(s coltsattempt.Suspect) {
 	for _, p := range l.randomPeers(gossipFanout) {
 		l.e.background.TrySubmit(func() {
 			l.share(context.Background(), p, &coltspb.ShareRequest{
-				Suspects: []*coltspb.Suspect{coltswire.EncodeSuspect(s)},
+				Suspects: []*coltspb.Suspect{coltswire.EncodeSuspect(s, l.e.cfg.Now())},
 			})
 		})
 	}
@@ -195,7 +195,7 @@
 		l.e.applyCacheEvent(coltswire.DecodeCacheEvent(m))
 	}
 	for _, m := range r.GetSuspects() {
-		suspect := coltswire.DecodeSuspect(m)
+		suspect := coltswire.DecodeSuspect(m, l.e.cfg.Now())
 		if l.e.quarantine.Merge(suspect, l.e.cfg.Now()) {
 			l.gossipSuspect(suspect)
 		}
@@ -233,7 +233,7 @@
 	}
 	reply := &coltspb.SuspectsReply{}
 	for _, s := range l.e.quarantine.Suspects(l.e.cfg.Now()) {
-		reply.Suspects = append(reply.Suspects, coltswire.EncodeSuspect(s))
+		reply.Suspects = append(reply.Suspects, coltswire.EncodeSuspect(s, l.e.cfg.Now()))
 	}
 	return reply, nil
 }
--- a/coltsgateway/control_reply.go
+++ b/coltsgateway/control_reply.go
@@ -34,7 +34,7 @@
 	if w.source != reply.GetSource() {
 		w.source, w.sourceSince = reply.GetSource(), now
 		clear(w.listed)
-		clear(w.reportedCrashes)
+		w.suspectsRevision = 0
 		w.g.poison.Forget()
 	}
 	if reply.GetWeightsRevision() != w.weightsRevision || len(reply.GetWeights()) > 0 {
@@ -58,8 +58,8 @@
 		w.g.metrics.Add(coltsmetric.ChoicesCompared, imbalance.Compared)
 		w.g.metrics.Add(coltsmetric.ChoicesOverloaded, imbalance.Overloaded)
 		w.g.capacityFreed.Broadcast()
-		w.mergeSuspects(reply, now)
 		w.applyPoison(reply, now)
+		w.mergeSuspects(reply, now, askedAt)
 	} else {
 		// This instance keeps no reports, also if it leads again later.
 		w.g.poison.Forget()
@@ -77,29 +77,6 @@
 	w.g.metrics.Put(coltsmetric.ColdWaits, w.g.balancer.ColdWaits())
 }
 
-// applyPoison applies which parts of prompts are blocked.
-func (w *controlWatcher) applyPoison(reply *coltspb.WatchReply, now time.Time) {
-	verdict := coltswire.DecodePoisonVerdict(reply, now)
-	for _, b := range w.g.poison.Apply(verdict) {
-		w.g.log.Warn("A part of prompts crashes upstreams; prompts with it are refused.", coltslog.Fields{
-			"model": b.Part.Model, "part": b.Part.ID, "until": b.Until, "source": w.source,
-		})
-	}
-	w.g.metrics.Put(coltsmetric.PartsBlocked, int64(len(verdict.Blocks)))
-}
-
-// mergeSuspects merges the requests that other instances saw crash upstreams.
-func (w *controlWatcher) mergeSuspects(reply *coltspb.WatchReply, now time.Time) {
-	for _, m := range reply.GetSuspects() {
-		suspect := coltswire.DecodeSuspect(m)
-		if w.g.suspects.Merge(suspect, now) {
-			w.g.log.Warn("A request is suspected of crashing upstreams.", coltslog.Fields{
-				"fingerprint": suspect.Fingerprint, "upstreams": suspect.Upstreams, "source": w.source,
-			})
-		}
-	}
-}
-
 // applyStores applies the changes to the store directory, which control knew after askedAt.
 func (w *controlWatcher) applyStores(reply *coltspb.WatchReply, askedAt time.Time) {
 	delta := coltsstore.Delta{
@@ -211,6 +188,8 @@
 		return
 	}
 	w.controls = addrs
+	leader := w.client(addrs[0])
+	w.leader.Store(&leader)
 	if term > w.term {
 		w.term = term
 		delete(w.avoidUntil, addrs[0])
--- a/coltsgateway/control_watch.go
+++ b/coltsgateway/control_watch.go
@@ -14,7 +14,6 @@
 
 	"connectrpc.com/connect"
 
-	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltsevacuation"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslink"
@@ -73,14 +72,15 @@
 	// receivingStores is set while the whole store directory is received in several replies.
 	receivingStores bool
 	connected       bool
-	// reportedCrashes holds, for each suspect, the number of crashes that were reported to
-	// source.
-	reportedCrashes map[coltsidentity.Digest]int
+	// suspectsRevision is the revision of the suspects that were reported to source.
+	suspectsRevision uint64
 	// avoidUntil is the time before which an instance that failed is not preferred. A new term
 	// removes the entry of its leader, so failures from before the election don't count. term
 	// is the highest term seen.
 	avoidUntil map[netip.AddrPort]time.Time
 	term       uint64
+	// leader is the client of the instance that is thought to lead, nil before the first reply.
+	leader atomic.Pointer[coltspbconnect.ControlClient]
 	// lastReplyAt is when control last replied, nil before the first reply.
 	lastReplyAt atomic.Pointer[time.Time]
 }
@@ -91,8 +91,7 @@
 		clients: map[netip.AddrPort]coltspbconnect.ControlClient{},
 		listed:  map[coltsidentity.Upstream]time.Time{},
 
-		avoidUntil:      map[netip.AddrPort]time.Time{},
-		reportedCrashes: map[coltsidentity.Digest]int{},
+		avoidUntil: map[netip.AddrPort]time.Time{},
 	}
 }
 
@@ -141,16 +140,25 @@
 	return addrs
 }
 
-// poll sends a long-polling request with this instance's state to a control instance.
-func (w *controlWatcher) poll(ctx context.Context, addr netip.AddrPort) (*coltspb.WatchReply, error) {
+// client returns the client of a control instance.
+func (w *controlWatcher) client(addr netip.AddrPort) coltspbconnect.ControlClient {
 	client, known := w.clients[addr]
 	if !known {
 		client = coltspbconnect.NewControlClient(
 			coltslink.NewClient(coltslink.Config{DialTimeout: watchDialTimeout}), coltslink.URL(addr))
 		w.clients[addr] = client
 	}
+	return client
+}
+
+// poll sends a long-polling request with this instance's state to a control instance.
+func (w *controlWatcher) poll(ctx context.Context, addr netip.AddrPort) (*coltspb.WatchReply, error) {
+	client := w.client(addr)
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
+	now := w.g.now()
+	suspects, suspectsRevision := w.g.suspects.ChangedSince(w.suspectsRevision, now)
+	w.suspectsRevision = suspectsRevision
 	request := &coltspb.WatchRequest{
 		Member: coltswire.EncodeMember(coltsmembership.Member{
 			ID:         coltsidentity.Instance(w.g.cfg.Settings.Instance),
@@ -166,13 +174,13 @@
 		RegistryRevision:    w.registryRevision,
 		StoreRevision:       w.storePosition.Revision,
 		StoreBase:           w.storePosition.Base,
-		Loads:               coltswire.EncodeLoads(w.g.balancer.Loads(), w.g.now()),
-		Suspects:            coltswire.EncodeSuspects(w.unreportedSuspects()),
+		Loads:               coltswire.EncodeLoads(w.g.balancer.Loads(), now),
+		Suspects:            coltswire.EncodeSuspects(suspects, now),
 		Fetches:             coltswire.EncodeStoreChanges(w.g.stores.TakeFetches()),
 		Leaving:             coltswire.EncodeProcesses(w.g.balancer.Leaving()),
 		WaitNanos:           int64(longPollWait),
 	}
-	coltswire.AddPoisonReport(request, w.g.poison.TakeReport(w.g.now()), w.g.now())
+	coltswire.AddPoisonReport(request, w.g.poison.TakeReport(now), now)
 	return client.Watch(ctx, request)
 }
 
@@ -184,7 +192,7 @@
 		avoid = avoidAfterTimeout
 	}
 	w.avoidUntil[addr] = w.g.now().Add(avoid)
-	clear(w.reportedCrashes)
+	w.suspectsRevision = 0
 	w.g.poison.Forget()
 	if !w.connected {
 		return
@@ -195,22 +203,6 @@
 	})
 }
 
-// unreportedSuspects returns the suspects with crashes that were not yet reported to control, and
-// marks them as reported. After a failed request all suspects are reported again.
-func (w *controlWatcher) unreportedSuspects() []coltsattempt.Suspect {
-	if !w.g.suspects.Any() {
-		return nil
-	}
-	var suspects []coltsattempt.Suspect
-	for _, suspect := range w.g.suspects.Suspects(w.g.now()) {
-		if crashes := len(suspect.Upstreams); crashes > w.reportedCrashes[suspect.Fingerprint] {
-			w.reportedCrashes[suspect.Fingerprint] = crashes
-			suspects = append(suspects, suspect)
-		}
-	}
-	return suspects
-}
-
 // staleness returns the time since control last replied, or since the start if it never has.
 func (w *controlWatcher) staleness(now time.Time) time.Duration {
 	lastReplyAt := w.lastReplyAt.Load()
--- a/coltsgateway/forward_request.go
+++ b/coltsgateway/forward_request.go
@@ -55,6 +55,10 @@
 	firstAt time.Time
 	// completed is set once the whole response has been sent to the caller.
 	completed bool
+	// isTrial is set if the request is quarantined and runs as a trial, which is not repeated. sentAt is when the
+	// current attempt began.
+	isTrial bool
+	sentAt  time.Time
 	// crashes is the number of attempts at whose beginning the upstream crashed.
 	crashes int
 	// eventReads is the number of times that events of the current attempt's response were passed on.
@@ -94,7 +98,7 @@
 	}
 	f.conn.nc.SetWriteLimit(f.lifecycle.Deadline().Add(writeGrace))
 	defer f.conn.nc.SetWriteLimit(time.Time{})
-	if refused := f.quarantineRefusal(now); refused != nil {
+	if refused := f.quarantineRefusal(); refused != nil {
 		return f.refuse(incoming.ID, refused)
 	}
 	f.g.budget.CountRequest(f.lifecycle.Service, now)
@@ -136,7 +140,7 @@
 		f.recordCrash(ctx, failure)
 		now := f.g.now()
 		verdict := f.lifecycle.RecordFailure(failure.Failure, f.takeRetry, now)
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || f.isTrial {
 			verdict = coltsattempt.VerdictFail
 		}
 		f.logAttempt(failure, verdict)
@@ -179,6 +183,7 @@
 	choice := f.choice
 	f.tried = append(f.tried, choice.Upstream.ID)
 	f.eventReads = 0
+	f.sentAt = f.g.now()
 	if choice.Home {
 		f.g.metrics.Add(coltsmetric.RequestsAtHome, 1)
 	}
--- a/coltsgateway/forward_suspect.go
+++ b/coltsgateway/forward_suspect.go
@@ -27,6 +27,10 @@
 // first ones may still arrive from an upstream that crashes over them.
 const beginningReads = 1
 
+// claimRetryDelay is the Retry-After of a request whose trial could not be claimed, as while a leader is
+// elected.
+const claimRetryDelay = 2 * time.Second
+
 // fingerprint returns a digest of the request's method, host, target, organisation and body.
 // Requests with the same fingerprint count as the same request.
 func (f *forwarding) fingerprint() coltsidentity.Digest {
@@ -43,13 +47,23 @@
 }
 
 // quarantineRefusal returns the refusal of a request that has crashed too many upstreams; nil
-// if it may run.
-func (f *forwarding) quarantineRefusal(now time.Time) *coltsattempt.RefusedError {
-	if !f.g.suspects.Any() {
+// if it may run, if only as the trial of all requests like it.
+func (f *forwarding) quarantineRefusal() *coltsattempt.RefusedError {
+	suspects := f.g.suspects
+	if !suspects.Any() {
 		return nil
 	}
-	until := f.g.suspects.BlockedUntil(f.fingerprint(), now)
-	if until.IsZero() {
+	fingerprint := f.fingerprint()
+	until := suspects.BlockedUntil(fingerprint, f.g.now())
+	if until.IsZero() && suspects.NeedsTrial(fingerprint, f.g.now()) {
+		f.isTrial = f.g.watcher.claimTrial(f.g.ctx, fingerprint, f.lifecycle.Deadline())
+		// What the leader knows has been merged, for example that the request has succeeded elsewhere.
+		until = suspects.BlockedUntil(fingerprint, f.g.now())
+		if until.IsZero() && suspects.NeedsTrial(fingerprint, f.g.now()) {
+			until = f.g.now().Add(claimRetryDelay)
+		}
+	}
+	if until.IsZero() || f.isTrial {
 		return nil
 	}
 	return coltsattempt.NotRun(coltsattempt.ReasonQuarantined, "the request has crashed upstreams").WithRetryAt(until)
@@ -75,7 +89,7 @@
 	// One upstream ID may stand for several processes in succession, each of which can crash
 	// once.
 	process := coltsidentity.Upstream(fmt.Sprintf("%s@%d", upstream.ID, upstream.StartedAt.UnixMilli()))
-	suspect := f.g.suspects.RecordCrash(f.fingerprint(), process, f.g.now())
+	suspect := f.g.suspects.Record(f.fingerprint(), coltsattempt.Crash{Upstream: process, SentAt: f.sentAt, At: crashedAt}, f.g.now())
 	f.g.log.Warn("An upstream crashed while it ran a request.", coltslog.Fields{
 		"request": f.lifecycle.Inbound.ID, "upstream": upstream.ID,
 		"fingerprint": suspect.Fingerprint, "crashes": len(suspect.Upstreams),
--- a/coltsgateway/gateway.go
+++ b/coltsgateway/gateway.go
@@ -37,10 +37,6 @@
 	// upstreamReadBytes is the size of a connection's read buffer. It exceeds the longest
 	// response head that an upstream sends.
 	upstreamReadBytes = 4 << 10
-	// crashesToQuarantine is the number of upstreams that a request may crash before it is
-	// refused. A request that happened to be running on two upstreams when another request
-	// crashed them is still served.
-	crashesToQuarantine = 3
 )
 
 // Config is the configuration of a gateway instance.
@@ -132,7 +128,7 @@
 			LoadEstimate: coltsbalance.LoadEstimate(cfg.Settings.Gateway.LoadEstimate),
 			LoadReport:   coltsbalance.LoadReport(cfg.Settings.Gateway.LoadReport),
 		}),
-		suspects:      coltsattempt.NewQuarantine(coltsattempt.QuarantineConfig{Crashes: crashesToQuarantine}),
+		suspects:      coltsattempt.NewQuarantine(coltsattempt.QuarantineConfig{Crashes: coltsattempt.GatewayCrashes}),
 		poison:        coltspoison.NewObserver(),
 		stores:        coltsstore.NewDirectory(),
 		queue:         coltsbalance.NewQueue(),
--- a/coltspoison/poison_part.go
+++ b/coltspoison/poison_part.go
@@ -68,6 +68,9 @@
 	// Watched are the parts whose answers the observers report.
 	Watched []Part
 	Blocks  []Block
+	// Explained are the processes that crashed on prompts with blocked parts, so that their crashes don't count
+	// against whatever else they ran.
+	Explained []coltsidentity.Upstream
 }
 
 // BlockedError reports that prompts with a part are refused.
--- a/coltspoison/poison_register.go
+++ b/coltspoison/poison_register.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -35,8 +36,10 @@
 	// shard.
 	maxRecordCrashes   = 32
 	maxRecordsPerShard = 2048
-	// maxTold bounds the parts of each kind in one verdict, which is part of every reply to a gateway.
-	maxTold = 64
+	// maxTold bounds the parts of each kind in one verdict, which is part of every reply to a gateway, and
+	// maxExplained the processes.
+	maxTold      = 64
+	maxExplained = 256
 )
 
 // Register adds up what all observers report and decides which parts are blocked. Only control's
@@ -257,6 +260,8 @@
 		decisions = append(decisions, c.decide(b, others.answeredAt))
 		verdict.Blocks = append(verdict.Blocks, b)
 	}
+	verdict.Explained = slices.Sorted(maps.Keys(explained))
+	verdict.Explained = verdict.Explained[:min(len(verdict.Explained), maxExplained)]
 	r.verdict.Store(verdict)
 	return decisions
 }
--- a/coltspoison/poison_test.go
+++ b/coltspoison/poison_test.go
@@ -156,6 +156,13 @@
 		f.pass(2*time.Second, func() { f.answer("fine") })
 		assertBlocked(t, f, "dead", true)
 	})
+	t.Run("the processes that crashed on a blocked part are named, others are not", func(t *testing.T) {
+		f := newFleet(3)
+		f.crashRepeatedly(4, 400*time.Millisecond, fine, "dead")
+		f.crash("other")
+		f.pass(time.Second, func() { f.answer("fine") })
+		assert.DeepEqual(t, f.register.Verdict().Explained, []coltsidentity.Upstream{"u1", "u2", "u3", "u4"})
+	})
 	t.Run("a block ends, and one more crash renews it", func(t *testing.T) {
 		f := newFleet(1)
 		f.crashRepeatedly(3, 300*time.Millisecond, fine, "dead")
--- a/coltsrequest/lifecycle_failure.go
+++ b/coltsrequest/lifecycle_failure.go
@@ -126,7 +126,8 @@
 	}
 	l.cfg.Fleet.RecordFailure(l.upstream(), isUpstreamGone(f), now)
 	if f.Crashed && f.Phase >= coltsattempt.PhaseSent {
-		l.cfg.OnCrash(l.cfg.Quarantine.RecordCrash(l.fingerprint, l.upstream(), now))
+		crash := coltsattempt.Crash{Upstream: l.upstream(), SentAt: l.sentAt, At: now}
+		l.cfg.OnSuspect(l.cfg.Quarantine.Record(l.fingerprint, crash, now))
 	}
 }
 
--- a/coltsrequest/lifecycle_progress.go
+++ b/coltsrequest/lifecycle_progress.go
@@ -78,7 +78,9 @@
 // tokens. The kind of the returned action is ActionDone.
 func (l *Lifecycle) Finished(generated int64, now time.Time) Action {
 	l.tokens.Generated = generated
-	l.cfg.Quarantine.Clear(l.fingerprint, now)
+	if suspect, cleared := l.cfg.Quarantine.Clear(l.fingerprint, now); cleared {
+		l.cfg.OnSuspect(suspect)
+	}
 	l.cfg.Fleet.RecordSuccess(l.upstream())
 	done := Done{Charge: l.charge(), Export: l.export(now)}
 	l.release(now)
--- a/coltsrequest/request_lifecycle.go
+++ b/coltsrequest/request_lifecycle.go
@@ -59,9 +59,9 @@
 	// ObserveFirstToken is called with the time to first token of each streamed request. It
 	// may be nil.
 	ObserveFirstToken func(p Prompt, firstToken time.Duration, now time.Time)
-	// OnCrash is called for each request whose upstream crashed, so that other
-	// entries can be informed. It may be nil.
-	OnCrash func(coltsattempt.Suspect)
+	// OnSuspect is called for each request whose upstream crashed, whose trial begins or that has
+	// succeeded after crashes, so that other entries can be informed. It may be nil.
+	OnSuspect func(coltsattempt.Suspect)
 }
 
 // Coordinator starts the state machines of requests. It is safe for concurrent use.
@@ -74,8 +74,8 @@
 	if cfg.ObserveFirstToken == nil {
 		cfg.ObserveFirstToken = func(Prompt, time.Duration, time.Time) {}
 	}
-	if cfg.OnCrash == nil {
-		cfg.OnCrash = func(coltsattempt.Suspect) {}
+	if cfg.OnSuspect == nil {
+		cfg.OnSuspect = func(coltsattempt.Suspect) {}
 	}
 	return &Coordinator{cfg: cfg}
 }
@@ -154,11 +154,30 @@
 	return nil
 }
 
+// quarantineRefusal returns the refusal of a request that has crashed too many upstreams; nil if it may run, if
+// only as the trial of all requests like it.
+func (l *Lifecycle) quarantineRefusal(now time.Time) *coltsattempt.RefusedError {
+	q := l.cfg.Quarantine
+	until := q.BlockedUntil(l.fingerprint, now)
+	if until.IsZero() && q.NeedsTrial(l.fingerprint, now) {
+		suspect, granted := q.ClaimTrial(l.fingerprint, l.prompt.Deadline, now)
+		if granted {
+			l.cfg.OnSuspect(suspect)
+			return nil
+		}
+		until = suspect.TrialUntil
+	}
+	if until.IsZero() {
+		return nil
+	}
+	return coltsattempt.NotRun(coltsattempt.ReasonQuarantined,
+		"this request crashed each upstream that ran it; an operator can release %s", l.fingerprint).WithRetryAt(until)
+}
+
 // admit refuses quarantined requests and applies the organisation's limits.
 func (l *Lifecycle) admit(now time.Time) *coltsattempt.RefusedError {
-	if until := l.cfg.Quarantine.BlockedUntil(l.fingerprint, now); !until.IsZero() {
-		return coltsattempt.NotRun(coltsattempt.ReasonQuarantined,
-			"this request crashed each upstream that ran it; an operator can release %s", l.fingerprint).WithRetryAt(until)
+	if refusal := l.quarantineRefusal(now); refusal != nil {
+		return refusal
 	}
 	refusal := admit(l.cfg.Admission, l.prompt.Organisation, l.prompt.Tokens(), now)
 	l.admitted = refusal == nil
--- a/coltsrequest/request_lifecycle_test.go
+++ b/coltsrequest/request_lifecycle_test.go
@@ -73,12 +73,17 @@
 }
 
 func (f *fixture) announce(t *testing.T, id coltsidentity.Upstream, kind coltsdocument.Kind) {
+	t.Helper()
+	f.announceAt(t, id, kind, start)
+}
+
+func (f *fixture) announceAt(t *testing.T, id coltsidentity.Upstream, kind coltsdocument.Kind, now time.Time) {
 	t.Helper()
 	_, err := f.cfg.Fleet.Announce(coltsfleet.Announcement{
 		ID: id, Addr: netip.MustParseAddrPort("10.0.0.1:80"), Kind: kind, DataCentre: "north",
-		Service: "press", Serving: []coltsfleet.ModelVersion{serving}, Incarnation: start, Number: 1,
+		Service: "press", Serving: []coltsfleet.ModelVersion{serving}, Incarnation: now, Number: 1,
 		Load: coltsfleet.Load{PrefillPerSecond: 20_000},
-	}, f.document, start)
+	}, f.document, now)
 	assert.NilError(t, err)
 }
 
@@ -249,6 +254,33 @@
 		assertRefused(t, action, coltsattempt.OutcomeNotRun, coltsattempt.ReasonQuarantined)
 	})
 
+	// The failure guarded against: a sound request that ran on upstreams that crashed for other reasons was refused for an
+	// hour, and nothing could show that it is sound.
+	t.Run("one quarantined request runs as a trial, and its success clears all", func(t *testing.T) {
+		f := newFixture(t)
+		var told []coltsattempt.Suspect
+		f.cfg.OnSuspect = func(s coltsattempt.Suspect) { told = append(told, s) }
+		f.coordinator = NewCoordinator(f.cfg)
+		lifecycle, _ := f.coordinator.Begin(prompt(0), start)
+		lifecycle.Failed(crash, start)
+		lifecycle.Failed(crash, start)
+		_, refused := f.coordinator.Begin(prompt(0), start)
+		assertRefused(t, refused, coltsattempt.OutcomeNotRun, coltsattempt.ReasonQuarantined)
+		retryAt := refused.Refusal.RetryAt
+		assert.Assert(t, retryAt.Sub(start) < time.Minute)
+		f.announceAt(t, "runner-1", coltsdocument.KindRunner, retryAt)
+		trial, action := f.coordinator.Begin(prompt(0), retryAt)
+		assertDispatch(t, action, 1)
+		assert.Assert(t, told[len(told)-1].TrialUntil.After(retryAt))
+		_, refused = f.coordinator.Begin(prompt(0), retryAt)
+		assertRefused(t, refused, coltsattempt.OutcomeNotRun, coltsattempt.ReasonQuarantined)
+		trial.Prefilled(PrefillResult{PromptTokens: 1}, retryAt)
+		trial.Finished(1, retryAt.Add(time.Second))
+		assert.Equal(t, len(told[len(told)-1].Crashes), 0)
+		_, action = f.coordinator.Begin(prompt(0), retryAt.Add(time.Second))
+		assertDispatch(t, action, 1)
+	})
+
 	t.Run("a model that the organisation may not use is refused", func(t *testing.T) {
 		f := newFixture(t)
 		p := prompt(0)
--- a/coltswire/coltspb/coltspbconnect/colts.connect.go
+++ b/coltswire/coltspb/coltspbconnect/colts.connect.go
@@ -68,6 +68,8 @@
 	ControlReportProcedure = "/colts.v1.Control/Report"
 	// ControlWatchProcedure is the fully-qualified name of the Control's Watch RPC.
 	ControlWatchProcedure = "/colts.v1.Control/Watch"
+	// ControlClaimTrialProcedure is the fully-qualified name of the Control's ClaimTrial RPC.
+	ControlClaimTrialProcedure = "/colts.v1.Control/ClaimTrial"
 	// ReplicaDeliverProcedure is the fully-qualified name of the Replica's Deliver RPC.
 	ReplicaDeliverProcedure = "/colts.v1.Replica/Deliver"
 	// PeerShareProcedure is the fully-qualified name of the Peer's Share RPC.
@@ -111,6 +113,8 @@
 	// Watch answers as soon as something is newer than what the asker has, or after
 	// its wait.
 	Watch(context.Context, *coltspb.WatchRequest) (*coltspb.WatchReply, error)
+	// ClaimTrial asks to run a quarantined request once.
+	ClaimTrial(context.Context, *coltspb.ClaimTrialRequest) (*coltspb.ClaimTrialReply, error)
 }
 
 // NewControlClient constructs a client for the colts.v1.Control service. By default, it uses the
@@ -208,6 +212,12 @@
 			connect.WithSchema(controlMethods.ByName("Watch")),
 			connect.WithClientOptions(opts...),
 		),
+		claimTrial: connect.NewClient[coltspb.ClaimTrialRequest, coltspb.ClaimTrialReply](
+			httpClient,
+			baseURL+ControlClaimTrialProcedure,
+			connect.WithSchema(controlMethods.ByName("ClaimTrial")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -227,6 +237,7 @@
 	routes         *connect.Client[coltspb.RoutesRequest, coltspb.RoutesReply]
 	report         *connect.Client[coltspb.ReportRequest, coltspb.ReportReply]
 	watch          *connect.Client[coltspb.WatchRequest, coltspb.WatchReply]
+	claimTrial     *connect.Client[coltspb.ClaimTrialRequest, coltspb.ClaimTrialReply]
 }
 
 // Submit calls colts.v1.Control.Submit.
@@ -355,6 +366,15 @@
 	return nil, err
 }
 
+// ClaimTrial calls colts.v1.Control.ClaimTrial.
+func (c *controlClient) ClaimTrial(ctx context.Context, req *coltspb.ClaimTrialRequest) (*coltspb.ClaimTrialReply, error) {
+	response, err := c.claimTrial.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // ControlHandler is an implementation of the colts.v1.Control service.
 type ControlHandler interface {
 	// Submit carries out a command once it is durable.
@@ -386,6 +406,8 @@
 	// Watch answers as soon as something is newer than what the asker has, or after
 	// its wait.
 	Watch(context.Context, *coltspb.WatchRequest) (*coltspb.WatchReply, error)
+	// ClaimTrial asks to run a quarantined request once.
+	ClaimTrial(context.Context, *coltspb.ClaimTrialRequest) (*coltspb.ClaimTrialReply, error)
 }
 
 // NewControlHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -479,6 +501,12 @@
 		connect.WithSchema(controlMethods.ByName("Watch")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlClaimTrialHandler := connect.NewUnaryHandlerSimple(
+		ControlClaimTrialProcedure,
+		svc.ClaimTrial,
+		connect.WithSchema(controlMethods.ByName("ClaimTrial")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/colts.v1.Control/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ControlSubmitProcedure:
@@ -509,6 +537,8 @@
 			controlReportHandler.ServeHTTP(w, r)
 		case ControlWatchProcedure:
 			controlWatchHandler.ServeHTTP(w, r)
+		case ControlClaimTrialProcedure:
+			controlClaimTrialHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -574,6 +604,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("colts.v1.Control.Watch is not implemented"))
 }
 
+func (UnimplementedControlHandler) ClaimTrial(context.Context, *coltspb.ClaimTrialRequest) (*coltspb.ClaimTrialReply, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("colts.v1.Control.ClaimTrial is not implemented"))
+}
+
 // ReplicaClient is a client for the colts.v1.Replica service.
 type ReplicaClient interface {
 	// Deliver hands over messages; they are answered by messages.
--- a/coltswire/wire_member.go
+++ b/coltswire/wire_member.go
@@ -1,10 +1,9 @@
 package coltswire
 
-// This file has the messages for soft state that operators can query: members,
-// objective counts and suspects.
+// This file has the messages for soft state that operators can query: members and
+// objective counts.
 
 import (
-	"coltsfootstall/coltsattempt"
 	"coltsfootstall/coltsdocument"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltsmembership"
@@ -77,26 +76,3 @@
 	}
 	return r
 }
-
-// EncodeSuspect returns the protobuf message for a suspect.
-func EncodeSuspect(s coltsattempt.Suspect) *coltspb.Suspect {
-	return &coltspb.Suspect{
-		Fingerprint: s.Fingerprint[:],
-		Upstreams:   convert(s.Upstreams, func(u coltsidentity.Upstream) string { return string(u) }),
-		ForgetAt:    EncodeTime(s.ExpiresAt),
-	}
-}
-
-// DecodeSuspect returns the suspect held in a protobuf message.
-func DecodeSuspect(m *coltspb.Suspect) coltsattempt.Suspect {
-	return coltsattempt.Suspect{
-		Fingerprint: decodeDigest(m.GetFingerprint()),
-		Upstreams:   convert(m.GetUpstreams(), func(s string) coltsidentity.Upstream { return coltsidentity.Upstream(s) }),
-		ExpiresAt:   DecodeTime(m.GetForgetAt()),
-	}
-}
-
-// EncodeSuspects returns the protobuf messages for suspects.
-func EncodeSuspects(suspects []coltsattempt.Suspect) []*coltspb.Suspect {
-	return convert(suspects, EncodeSuspect)
-}
--- a/coltswire/wire_poison.go
+++ b/coltswire/wire_poison.go
@@ -53,12 +53,14 @@
 func AddPoisonVerdict(to *coltspb.WatchReply, v coltspoison.Verdict, now time.Time) {
 	to.WatchedParts = convert(v.Watched, encodePart)
 	to.PartBlocks = encodeBlocks(v.Blocks, now)
+	to.ExplainedCrashes = convert(v.Explained, func(u coltsidentity.Upstream) string { return string(u) })
 }
 
 // DecodePoisonVerdict returns the register's verdict in a reply.
 func DecodePoisonVerdict(m *coltspb.WatchReply, now time.Time) coltspoison.Verdict {
 	return coltspoison.Verdict{
 		Watched: convert(m.GetWatchedParts(), decodePart), Blocks: decodeBlocks(m.GetPartBlocks(), now),
+		Explained: convert(m.GetExplainedCrashes(), func(s string) coltsidentity.Upstream { return coltsidentity.Upstream(s) }),
 	}
 }
 
