Find a harmful part of prompts while it keeps every upstream down

Cause: the register blocks a part only while others are answered, and here nothing was answered any more.

Change: a part of which no answer is remembered, while others were answered before, is blocked for 10 s after five separate crashes and 2 s without any answer. If it is the cause, the others are answered meanwhile, and one more crash blocks it as usual. A part that was answered before is not blocked so.

--- a/coltspoison/poison_register.go
+++ b/coltspoison/poison_register.go
@@ -2,7 +2,9 @@
 
 // Crashes of several upstreams at once, or of upstreams that fail whatever they run, must block nothing, since
 // a blocked part that many prompts share costs more than the crashes. So a part is blocked only if it stands
-// out: prompts without it are answered, and no part with more recent answers explains the same crashes.
+// out: prompts without it are answered, and no part with more recent answers explains the same crashes. Where a
+// part crashes all upstreams at each return, nothing is answered; a part that stands out by what was answered before is
+// then blocked for a short time, in which the others are answered if it is the cause.
 
 import (
 	"cmp"
@@ -30,6 +32,12 @@
 	evidencePeriod = 500 * time.Millisecond
 	// blockPeriod is how long a part is blocked. Another crash after that blocks it again.
 	blockPeriod = 10 * time.Minute
+	// outageThreshold is the number of crashes from which a part that was never answered is blocked although no
+	// other prompt is answered, if that has lasted for outagePeriod since the first of them. Such a
+	// block lasts for outageBlockPeriod, in which upstreams return and answer others.
+	outageThreshold   = 5
+	outagePeriod      = 2 * time.Second
+	outageBlockPeriod = 10 * time.Second
 	// recordMemory is how long a part is remembered after its last crash or block.
 	recordMemory = 2 * time.Minute
 	// maxRecordCrashes bounds the crashes that are kept for one part, maxRecordsPerShard the parts in a
@@ -67,7 +75,10 @@
 	// watchedSince is when the observers were first asked for its answers; zero if they are not.
 	watchedSince time.Time
 	blockedUntil time.Time
-	expiresAt    time.Time
+	// tentative is set if the newest block began without answers to others. The part is watched all the while, so
+	// that one more crash blocks it at once.
+	tentative bool
+	expiresAt time.Time
 }
 
 type recordedCrash struct {
@@ -251,11 +262,14 @@
 	var decisions []BlockDecision
 	for _, c := range candidates {
 		others := records[c.allOf()]
-		if len(verdict.Blocks) >= maxTold || !c.shouldBlock(others.answeredAt, explained, now) {
+		period := c.blockFor(others.answeredAt, explained, now)
+		if len(verdict.Blocks) >= maxTold || period == 0 {
 			continue
 		}
-		b := Block{Part: c.Part, Until: now.Add(blockPeriod)}
-		r.update(c.Part, b.Until, true, func(rec *record) { rec.blockedUntil = b.Until })
+		b := Block{Part: c.Part, Until: now.Add(period)}
+		r.update(c.Part, b.Until, true, func(rec *record) {
+			rec.blockedUntil, rec.tentative = b.Until, period == outageBlockPeriod
+		})
 		explain(explained, c.crashes)
 		decisions = append(decisions, c.decide(b, others.answeredAt))
 		verdict.Blocks = append(verdict.Blocks, b)
@@ -295,14 +309,23 @@
 	)
 }
 
-// shouldBlock reports whether a part is to be blocked. othersAnsweredAt is when any prompt to the model
-// was last answered: while none is, nothing tells the part from others.
-func (c candidate) shouldBlock(othersAnsweredAt time.Time, explained map[coltsidentity.Upstream]bool, now time.Time) bool {
-	if len(c.crashes) == 0 || c.incidents(explained) < blockThreshold || now.Sub(c.watchedSince) < evidencePeriod {
-		return false
+// blockFor returns how long a part is to be blocked, 0 for not at all. othersAnsweredAt is when any prompt to the
+// model was last answered.
+func (c candidate) blockFor(othersAnsweredAt time.Time, explained map[coltsidentity.Upstream]bool, now time.Time) time.Duration {
+	incidents := c.incidents(explained)
+	if len(c.crashes) == 0 || incidents < blockThreshold || now.Sub(c.watchedSince) < evidencePeriod {
+		return 0
 	}
 	first, last := c.crashes[0].at, c.crashes[len(c.crashes)-1].at
-	return othersAnsweredAt.Sub(first) >= evidencePeriod && last.After(c.blockedUntil)
+	switch {
+	case !last.After(c.blockedUntil):
+		return 0
+	case othersAnsweredAt.Sub(first) >= evidencePeriod:
+		return blockPeriod
+	case c.answeredAt.IsZero() && !othersAnsweredAt.IsZero() && incidents >= outageThreshold && now.Sub(first) >= outagePeriod:
+		return outageBlockPeriod
+	}
+	return 0
 }
 
 // snapshot removes expired records, updates which parts are watched, and returns copies of the
@@ -319,7 +342,7 @@
 				continue
 			}
 			switch {
-			case p.ID != "" && (rec.incidents(nil) < watchThreshold || now.Before(rec.blockedUntil)):
+			case p.ID != "" && (rec.incidents(nil) < watchThreshold || now.Before(rec.blockedUntil) && !rec.tentative):
 				rec.watchedSince = time.Time{}
 			case rec.watchedSince.IsZero() && watching < maxTold:
 				rec.watchedSince = now
--- a/coltspoison/poison_test.go
+++ b/coltspoison/poison_test.go
@@ -213,6 +213,48 @@
 	})
 }
 
+// The failure guarded against: upstreams crashed at each return, so no prompt was answered that could have told the
+// harmful part from the others, and it was never found.
+func TestOutage(t *testing.T) {
+	crashAll := func(f *fleet) { f.pass(3*time.Second, func() { f.crash("popular", "dead") }) }
+	outage := func() *fleet {
+		f := newFleet(6)
+		f.pass(time.Second, func() { f.answer("popular") })
+		crashAll(f)
+		return f
+	}
+	t.Run("a part without any answer is blocked, one that was answered before is not", func(t *testing.T) {
+		f := outage()
+		assertBlocked(t, f, "dead", true)
+		assertBlocked(t, f, "popular", false)
+		assert.Assert(t, len(f.register.Verdict().Explained) >= outageThreshold)
+	})
+	t.Run("it stays blocked after one more crash if the others are answered meanwhile", func(t *testing.T) {
+		f := outage()
+		f.pass(outageBlockPeriod, func() { f.answer("popular") })
+		f.crash("popular", "dead")
+		f.pass(time.Second, func() { f.answer("popular") })
+		f.pass(2*outageBlockPeriod, func() { f.answer("popular") })
+		assertBlocked(t, f, "dead", true)
+	})
+	t.Run("it is not blocked for long if upstreams crash whatever they run", func(t *testing.T) {
+		f := outage()
+		f.pass(outageBlockPeriod, func() { f.crash("popular") })
+		assertBlocked(t, f, "dead", false)
+	})
+	t.Run("a loss of all upstreams in series blocks nothing for long", func(t *testing.T) {
+		f := newFleet(6)
+		f.pass(time.Second, func() { f.answer("popular") })
+		for range 8 {
+			f.crash("popular", "new")
+			f.pass(500*time.Millisecond, func() {})
+		}
+		f.pass(outageBlockPeriod, func() {})
+		assertBlocked(t, f, "new", false)
+		assertBlocked(t, f, "popular", false)
+	})
+}
+
 func TestNewLeader(t *testing.T) {
 	t.Run("it learns of crashes that were reported to the one before", func(t *testing.T) {
 		f := newFleet(3)
