Remember at a gateway that an upstream is leaving while it is not listed

A gateway that has followed a registry for 10 s forgets the upstreams which that one does not list, and with them that they said they are leaving. Listed again, by a late report or by an instance that has just started, they got requests. The notice of an upstream that was not known was dropped, too.

Change: the balancer keeps the start of such a process by its ID, at most 64 in a shard, and applies it when control lists the upstream.

--- a/coltsbalance/balance_advice.go
+++ b/coltsbalance/balance_advice.go
@@ -6,29 +6,46 @@
 import (
 	"time"
 
-	"coltsfootstall/coltsadvice"
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltsregistry"
 	"coltsfootstall/coltsshard"
 )
 
+// maxLeftPerShard bounds the processes in a shard that are remembered to be leaving although control does not report
+// them.
+const maxLeftPerShard = 64
+
+// recordLeft remembers that a process is leaving that is not known or is being forgotten. Control may report it as ready
+// again: a late report of it, or an instance that has just started. The caller must hold the lock.
+func (s *balancerShard) recordLeft(id coltsidentity.Upstream, startedAt time.Time) {
+	if len(s.left) >= maxLeftPerShard {
+		clear(s.left)
+	}
+	if startedAt.After(s.left[id]) {
+		s.left[id] = startedAt
+	}
+}
+
 // RecordLeaving records that a process has said that it is leaving, and reports whether this is news.
 func (b *Balancer) RecordLeaving(id coltsidentity.Upstream, startedAt time.Time) bool {
-	return b.advise(id, func(a *coltsadvice.Advice) bool { return a.Leave(startedAt) })
+	s := &b.shards[coltsshard.Of(id)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if u, known := s.upstreams[id]; known {
+		return u.advice.Leave(startedAt)
+	}
+	s.recordLeft(id, startedAt)
+	return false
 }
 
 // RecordPause records that a process wants no request until a time, and reports whether this begins a
 // pause or extends it noticeably.
 func (b *Balancer) RecordPause(id coltsidentity.Upstream, startedAt, until, now time.Time) bool {
-	return b.advise(id, func(a *coltsadvice.Advice) bool { return a.Pause(startedAt, until, now) })
-}
-
-func (b *Balancer) advise(id coltsidentity.Upstream, change func(a *coltsadvice.Advice) bool) bool {
 	s := &b.shards[coltsshard.Of(id)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u, known := s.upstreams[id]
-	return known && change(&u.advice)
+	return known && u.advice.Pause(startedAt, until, now)
 }
 
 // IsWithdrawn reports whether the upstream of a choice must not get its request any more: since the choice it
--- a/coltsbalance/balancer.go
+++ b/coltsbalance/balancer.go
@@ -37,6 +37,8 @@
 type balancerShard struct {
 	mu        sync.Mutex
 	upstreams map[coltsidentity.Upstream]*upstream
+	// left holds when the processes started that said that they are leaving and were forgotten since.
+	left map[coltsidentity.Upstream]time.Time
 }
 
 // Policy is a load-balancing policy.
@@ -74,6 +76,7 @@
 	b.loadAge.Store(math.MaxInt64)
 	for i := range b.shards {
 		b.shards[i].upstreams = map[coltsidentity.Upstream]*upstream{}
+		b.shards[i].left = map[coltsidentity.Upstream]time.Time{}
 	}
 	return b
 }
@@ -112,6 +115,9 @@
 		u.failures, u.backoffUntil = 0, time.Time{}
 	}
 	u.advice.Restart(e.Upstream.StartedAt)
+	if startedAt, left := s.left[id]; left {
+		u.advice.Leave(startedAt)
+	}
 	u.warmup.update(u.record, e.Upstream)
 	u.record, u.silent, u.loading = e.Upstream, e.Silent, e.Loading
 }
@@ -124,6 +130,9 @@
 		s.mu.Lock()
 		for id, u := range s.upstreams {
 			if u.running == 0 && !keep(id) {
+				if u.advice.Leaving() {
+					s.recordLeft(id, u.record.StartedAt)
+				}
 				delete(s.upstreams, id)
 			}
 		}
