Commit the departure of the process that a leave names, known or not

An upstream left before its first heartbeat had arrived.

Cause: what was committed was the process that the registry lists under the ID, not the one that the call names by its start. With none listed nothing was written; with an earlier process listed, that one was.

Change: the named process is committed in any case, also for a report that is draining and that the registry ignores; the listed one as before. A leave that could not be remembered is refused: without a start for an unknown upstream, with an ID that no upstream has, or beyond 2,048 unlisted processes in ten minutes, so that invented IDs drop no real departure.

--- a/coltscontrol/control_service.go
+++ b/coltscontrol/control_service.go
@@ -177,13 +177,17 @@
 	return addr.Addr(), nil
 }
 
-// LeaveUpstream removes an upstream that is leaving from the registry. startedAt is the start time of
-// its process, or the zero time if that is not known.
-func (c *Control) LeaveUpstream(ctx context.Context, id coltsidentity.Upstream, startedAt time.Time) error {
+// LeaveUpstream records that an upstream's process is leaving, also one that has not been reported yet. The start time
+// of its process may be zero if the upstream is known. It returns a coltsregistry.InvalidError if no sound upstream
+// would name this process.
+func (c *Control) LeaveUpstream(ctx context.Context, p coltsregistry.Process) error {
+	if err := p.Validate(c.cfg.Now()); err != nil {
+		return err
+	}
 	server := &controlServer{c: c}
 	return c.retryUntilLed(ctx, func() error {
 		_, err := server.Report(ctx, &coltspb.ReportRequest{
-			Upstream: coltswire.EncodeReportedUpstream(coltsregistry.Upstream{ID: id, StartedAt: startedAt}, c.cfg.Now()),
+			Upstream: coltswire.EncodeReportedUpstream(coltsregistry.Upstream{ID: p.ID, StartedAt: p.StartedAt}, c.cfg.Now()),
 			Leaving:  true,
 		})
 		return err
--- a/coltscontrol/registry_loop.go
+++ b/coltscontrol/registry_loop.go
@@ -8,8 +8,11 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"coltsfootstall/coltsidentity"
 	"coltsfootstall/coltslog"
+	"coltsfootstall/coltsregistry"
 	"coltsfootstall/coltsstore"
 	"coltsfootstall/coltswire"
 	"coltsfootstall/coltswire/coltspb"
@@ -130,6 +133,7 @@
 	u := coltswire.DecodeReportedUpstream(r.GetUpstream(), now)
 	changed := false
 	if r.GetLeaving() {
+		u.State = coltsregistry.StateGone
 		changed = s.c.registry.Leave(u.ID, u.StartedAt, now)
 	} else {
 		u.State = max(u.State, s.c.machine.Departures.StateOf(u.Process()))
@@ -147,8 +151,9 @@
 		})
 		s.c.watchChanged.Broadcast()
 	}
-	if err == nil {
-		if err := s.commitDeparture(ctx, u.ID); err != nil {
+	var invalid *coltsregistry.InvalidError
+	if !errors.As(err, &invalid) {
+		if err := s.commitDepartures(ctx, u); err != nil {
 			return nil, err
 		}
 	}
--- a/coltsdeparture/departure_register.go
+++ b/coltsdeparture/departure_register.go
@@ -24,6 +24,9 @@
 	retention = 10 * time.Minute
 	// maxDepartures bounds the register; the oldest departures are dropped.
 	maxDepartures = 4096
+	// maxUnlisted is how many departures there may be for one of a process that the registry does not list to be
+	// taken. Whoever names invented processes then drops no departure of a real one.
+	maxUnlisted = maxDepartures / 2
 )
 
 // Departure is a process that is draining or has left.
@@ -99,6 +102,14 @@
 	return r.states[keyOf(p)]
 }
 
+// HasRoom reports whether the departure of a process that the registry does not list may be committed now.
+func (r *Register) HasRoom(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	departures := r.state.Departures
+	return len(departures) < maxUnlisted || now.Sub(departures[len(departures)-maxUnlisted].At) > retention
+}
+
 // Current returns the register's state, which the caller must not change.
 func (r *Register) Current() State {
 	r.mu.Lock()
--- a/coltsdeparture/departure_test.go
+++ b/coltsdeparture/departure_test.go
@@ -65,6 +65,17 @@
 		assert.Equal(t, r.StateOf(process("0", start)), coltsregistry.StateReady)
 		assert.Equal(t, r.StateOf(process("1", start)), coltsregistry.StateGone)
 	})
+	t.Run("processes that are not listed drop no departure of one that is", func(t *testing.T) {
+		r := NewRegister()
+		apply(t, r, first, coltsregistry.StateGone, start, coltsregistry.StateGone)
+		invented := 0
+		for ; r.HasRoom(start); invented++ {
+			r.Apply(Departure{Process: process(fmt.Sprint(invented), start), State: coltsregistry.StateGone}, start)
+		}
+		assert.Assert(t, invented < maxDepartures)
+		assert.Equal(t, r.StateOf(first), coltsregistry.StateGone)
+		assert.Assert(t, r.HasRoom(start.Add(retention+1)))
+	})
 	t.Run("an imported state is the same", func(t *testing.T) {
 		r, imported := NewRegister(), NewRegister()
 		apply(t, r, first, coltsregistry.StateDraining, start, coltsregistry.StateDraining)
--- a/coltsregistry/registry_upstream.go
+++ b/coltsregistry/registry_upstream.go
@@ -93,18 +93,17 @@
 // Validate returns an InvalidError if no sound upstream would make this report. Another program's report could
 // otherwise keep the upstream's own ones from being accepted, or take over its address.
 func (u Upstream) Validate(now time.Time) error {
+	if err := u.Process().Validate(now); err != nil {
+		return err
+	}
 	reason := ""
 	switch {
-	case u.ID == "" || len(u.ID) > maxIDBytes || !utf8.ValidString(string(u.ID)):
-		reason = "its ID is empty, too long or no text"
 	case u.Addr.Port() == 0 || u.Addr.Addr().IsUnspecified() || u.Addr.Addr().IsMulticast() || u.Addr.Addr().Zone() != "":
 		reason = "no upstream can be reached at " + u.Addr.String()
 	case u.Slots < 0 || u.Slots > math.MaxInt32:
 		reason = "its number of slots is negative or too large"
 	case u.Sequence > maxNumber:
 		reason = "its sequence is too large"
-	case u.StartedAt.After(now.Add(maxClockLead)):
-		reason = "its process has not started yet"
 	case slices.ContainsFunc(u.Weights, func(w coltsweights.Weights) bool { return w.Number > maxNumber }):
 		reason = "a weights version is too large"
 	default:
@@ -146,6 +145,17 @@
 	StartedAt time.Time
 }
 
+// Validate returns an InvalidError if no sound upstream would name this process.
+func (p Process) Validate(now time.Time) error {
+	switch {
+	case p.ID == "" || len(p.ID) > maxIDBytes || !utf8.ValidString(string(p.ID)):
+		return &InvalidError{ID: p.ID, Reason: "its ID is empty, too long or no text"}
+	case p.StartedAt.After(now.Add(maxClockLead)):
+		return &InvalidError{ID: p.ID, Reason: "its process has not started yet"}
+	}
+	return nil
+}
+
 // Process returns the process that the report is about.
 func (u Upstream) Process() Process { return Process{ID: u.ID, StartedAt: u.StartedAt} }
 
