--- a/coltscontrol/driver_output.go
+++ b/coltscontrol/driver_output.go
@@ -144,7 +144,9 @@
 	}
 	d.publishDepartures()
 	evacuationsChanged := d.c.publishEvacuations(d.c.cfg.Now())
-	if _, revision := d.c.machine.Weights.Newest(); evacuationsChanged || encoded.Version != published || revision != d.publishedWeights {
+	versions, revision := d.c.machine.Weights.Versions()
+	if evacuationsChanged || encoded.Version != published || revision != d.publishedWeights {
+		d.c.weightAges.observe(versions, d.c.cfg.Now())
 		d.publishedWeights = revision
 		d.c.watchChanged.Broadcast()
 	}
--- a/coltscontrol/registry_loop.go
+++ b/coltscontrol/registry_loop.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,6 +15,7 @@
 	"coltsfootstall/coltslog"
 	"coltsfootstall/coltsregistry"
 	"coltsfootstall/coltsstore"
+	"coltsfootstall/coltsweights"
 	"coltsfootstall/coltswire"
 	"coltsfootstall/coltswire/coltspb"
 )
@@ -233,22 +235,32 @@
 		reply.Routes = coltswire.EncodeRouteTable(*encoded)
 		hasChanges = true
 	}
-	named, weightsRevision := s.c.machine.Weights.Newest()
-	reply.WeightsRevision = weightsRevision
-	if !sameSource || weightsRevision != r.GetWeightsRevision() {
-		reply.Weights = coltswire.EncodeNamedVersions(named)
-		now := s.c.cfg.Now()
-		for i, n := range named {
-			reply.Weights[i].AgeNanos = int64(s.c.weightAges.age(n, now))
-		}
-		hasChanges = true
-	}
+	hasChanges = s.addWeights(r, reply, sameSource) || hasChanges
 	hasChanges = s.addEvacuations(r, reply) || hasChanges
 	reply.Controls, reply.Term = s.c.controlAddrs()
 	reply.EntryInstances = int32(s.c.liveEntries())
 	return reply, s.addLeaderState(r, reply, sameSource) || hasChanges
 }
 
+// addWeights adds the named versions if they are newer than what the caller has, or one of them was named lately. It
+// reports whether they are newer. The newest versions alone would not do: the time to load each version counts from its
+// own naming.
+func (s *controlServer) addWeights(r *coltspb.WatchRequest, reply *coltspb.WatchReply, sameSource bool) bool {
+	versions, revision := s.c.machine.Weights.Versions()
+	reply.WeightsRevision = revision
+	now := s.c.cfg.Now()
+	isNewer := !sameSource || revision != r.GetWeightsRevision()
+	isRecent := func(n coltsweights.NamedVersion) bool { return s.c.weightAges.age(n, now) < repeatPeriod }
+	if !isNewer && !slices.ContainsFunc(versions, isRecent) {
+		return false
+	}
+	reply.Weights = coltswire.EncodeNamedVersions(versions)
+	for i, n := range versions {
+		reply.Weights[i].AgeNanos = int64(s.c.weightAges.age(n, now))
+	}
+	return isNewer
+}
+
 // addStoreOffers adds the stores that answer. Instances of earlier releases read only the names of
 // those that take parts.
 func (s *controlServer) addStoreOffers(reply *coltspb.WatchReply) {
--- a/coltscontrol/weights_age.go
+++ b/coltscontrol/weights_age.go
@@ -15,6 +15,10 @@
 // before, whose age follows only from the clock of the instance that recorded them.
 const restorePeriod = 5 * time.Second
 
+// repeatPeriod is how long after its naming a version is part of every reply to a gateway. A gateway whose machine was
+// frozen, and with it the clock, then learns that the version is older than it believes.
+const repeatPeriod = time.Minute
+
 // weightAges holds when this instance first had each named version. There are a few of them a day,
 // so they have a single lock.
 type weightAges struct {
@@ -24,6 +28,14 @@
 	since map[coltsweights.Weights]time.Time
 }
 
+// observe records versions that this instance has applied. Gateways may ask it for their ages much later, for example
+// when it leads.
+func (a *weightAges) observe(versions []coltsweights.NamedVersion, now time.Time) {
+	for _, n := range versions {
+		a.age(n, now)
+	}
+}
+
 // age returns the time since a version was named.
 func (a *weightAges) age(n coltsweights.NamedVersion, now time.Time) time.Duration {
 	a.mu.Lock()
--- a/coltsgateway/control_reply.go
+++ b/coltsgateway/control_reply.go
@@ -37,10 +37,7 @@
 		w.suspectsRevision = 0
 		w.g.poison.Forget()
 	}
-	if reply.GetWeightsRevision() != w.weightsRevision || len(reply.GetWeights()) > 0 {
-		w.weightsRevision = reply.GetWeightsRevision()
-		w.applyWeights(reply, askedAt)
-	}
+	w.applyWeights(reply, now, askedAt)
 	w.registryRevision = reply.GetRegistryRevision()
 	w.applyRegistryEntries(reply, now)
 	if n := reply.GetEntryInstances(); n > 0 {
@@ -129,11 +126,18 @@
 	}
 }
 
-// applyWeights applies the named weights versions. Control answered after askedAt, so a version was
-// named no earlier than its age before that.
-func (w *controlWatcher) applyWeights(reply *coltspb.WatchReply, askedAt time.Time) {
+// applyWeights applies the named weights versions. Control answered after askedAt, so a version was named no earlier than
+// its age before that, and no later than its age before now. The latter corrects the time of a version that is known: while
+// this machine was frozen its clock may have stood still.
+func (w *controlWatcher) applyWeights(reply *coltspb.WatchReply, now, askedAt time.Time) {
+	changed := reply.GetWeightsRevision() != w.weightsRevision
+	w.weightsRevision = reply.GetWeightsRevision()
 	for i, n := range coltswire.DecodeNamedVersions(reply.GetWeights()) {
-		n.NamedAt = askedAt.Add(-time.Duration(reply.GetWeights()[i].GetAgeNanos()))
+		heardAt := now
+		if changed || n.Number > w.g.weights.Wanted(n.Model).Number {
+			heardAt = askedAt
+		}
+		n.NamedAt = heardAt.Add(-time.Duration(reply.GetWeights()[i].GetAgeNanos()))
 		if w.g.weights.SetNamed(n) {
 			w.g.log.Info("The wanted weights version of a model changed.", coltslog.Fields{
 				"model": n.Model, "number": n.Number,
--- a/coltsstate/state_machine.go
+++ b/coltsstate/state_machine.go
@@ -152,7 +152,7 @@
 	s.LastGrant, s.Bookings = m.Ledger.Export()
 	s.Lines, s.Sources = m.Account.Export()
 	s.Routes, s.CacheSharing = m.routes, m.cacheSharing
-	s.Weights, _ = m.Weights.Newest()
+	s.Weights, _ = m.Weights.Versions()
 	s.Evacuations = m.Evacuations.Current()
 	s.Departures = m.Departures.Current()
 	return s
--- a/coltsweights/weights_register.go
+++ b/coltsweights/weights_register.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -15,9 +16,9 @@
 	"coltsfootstall/coltsidentity"
 )
 
-// maxEarlierVersions is the largest number of versions of a model that are kept besides the
-// newest one.
-const maxEarlierVersions = 16
+// maxVersions is the largest number of versions of a model that are kept. An operator names fewer of them
+// in the time that runners have to load one.
+const maxVersions = 64
 
 // Number is the version number of a model's weights. Versions start at 1; 0 means unknown.
 type Number uint64
@@ -38,39 +39,41 @@
 // Register holds the named versions of each model. It is safe for concurrent use.
 type Register struct {
 	mu sync.Mutex
-	// newest holds the version that was named last.
-	newest map[coltsidentity.Model]NamedVersion
-	// earlier holds the versions that were named before the newest one, the oldest first.
-	earlier map[coltsidentity.Model][]NamedVersion
-	// revision is incremented by every change.
+	// versions holds the versions of each model by number, each of which was named before the next one.
+	versions map[coltsidentity.Model][]NamedVersion
+	// revision is incremented by every new newest version.
 	revision uint64
 }
 
 // NewRegister returns an empty register.
 func NewRegister() *Register {
-	return &Register{newest: map[coltsidentity.Model]NamedVersion{}, earlier: map[coltsidentity.Model][]NamedVersion{}}
+	return &Register{versions: map[coltsidentity.Model][]NamedVersion{}}
 }
 
 // SetNamed makes n the named version of its model if it is higher than the current one, and
-// reports whether it did. If n is the current version, the earlier time of naming counts.
+// reports whether it did. If n is known, the earlier time of naming counts. A lower version that was
+// named before the higher ones is added as an earlier one; it is learned late, or out of order.
 func (r *Register) SetNamed(n NamedVersion) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	previous, known := r.newest[n.Model]
-	if n.Weights == previous.Weights && n.NamedAt.Before(previous.NamedAt) {
-		previous.NamedAt = n.NamedAt
-		r.newest[n.Model] = previous
-	}
-	if n.Number <= previous.Number {
-		return false
+	versions := r.versions[n.Model]
+	i, known := slices.BinarySearchFunc(versions, n.Number, func(v NamedVersion, number Number) int {
+		return cmp.Compare(v.Number, number)
+	})
+	isNewest := i == len(versions) && n.Number > 0
+	switch {
+	case known:
+		if n.NamedAt.Before(versions[i].NamedAt) {
+			versions[i].NamedAt = n.NamedAt
+		}
+	case isNewest || i < len(versions) && n.NamedAt.Before(versions[i].NamedAt):
+		versions = slices.Insert(versions, i, n)
+		r.versions[n.Model] = versions[max(0, len(versions)-maxVersions):]
 	}
-	if known {
-		earlier := append(r.earlier[n.Model], previous)
-		r.earlier[n.Model] = earlier[max(0, len(earlier)-maxEarlierVersions):]
+	if isNewest {
+		r.revision++
 	}
-	r.newest[n.Model] = n
-	r.revision++
-	return true
+	return isNewest
 }
 
 // Wanted returns the newest named version of a model, or the zero value, whose number is 0,
@@ -78,7 +81,11 @@
 func (r *Register) Wanted(model coltsidentity.Model) NamedVersion {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.newest[model]
+	versions := r.versions[model]
+	if len(versions) == 0 {
+		return NamedVersion{}
+	}
+	return versions[len(versions)-1]
 }
 
 // startMarginShare is the largest share of the grace period for which requests are withheld from
@@ -113,12 +120,8 @@
 func (r *Register) NamedAsOf(model coltsidentity.Model, at time.Time) Number {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	newest, known := r.newest[model]
-	if known && !newest.NamedAt.After(at) {
-		return newest.Number
-	}
 	number := Number(0)
-	for _, n := range r.earlier[model] {
+	for _, n := range r.versions[model] {
 		if !n.NamedAt.After(at) {
 			number = max(number, n.Number)
 		}
@@ -131,22 +134,33 @@
 func (r *Register) Newest() ([]NamedVersion, uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	all := make([]NamedVersion, 0, len(r.newest))
-	for _, n := range r.newest {
-		all = append(all, n)
+	all := make([]NamedVersion, 0, len(r.versions))
+	for _, model := range slices.Sorted(maps.Keys(r.versions)) {
+		versions := r.versions[model]
+		all = append(all, versions[len(versions)-1])
+	}
+	return all, r.revision
+}
+
+// Versions returns all versions, sorted by model and number, and the revision of the register. Whoever learns only the
+// newest of them can't know when the time to load an earlier one ends.
+func (r *Register) Versions() ([]NamedVersion, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all []NamedVersion
+	for _, model := range slices.Sorted(maps.Keys(r.versions)) {
+		all = append(all, r.versions[model]...)
 	}
-	slices.SortFunc(all, func(a, b NamedVersion) int { return cmp.Compare(a.Model, b.Model) })
 	return all, r.revision
 }
 
-// Import replaces the newest named version of every model. It leaves the earlier versions
-// as they are.
+// Import replaces all versions, which must be sorted by model and number.
 func (r *Register) Import(all []NamedVersion) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.newest = make(map[coltsidentity.Model]NamedVersion, len(all))
+	r.versions = make(map[coltsidentity.Model][]NamedVersion, len(all))
 	for _, n := range all {
-		r.newest[n.Model] = n
+		r.versions[n.Model] = append(r.versions[n.Model], n)
 	}
 	r.revision++
 }
