Keep each success of a request that has been suspected

A success of a request that was cleared already was not recorded, so a crash from before it that was reported late counted. Explained crashes also take back the failed trials that counted with them.

--- a/coltsattempt/quarantine.go
+++ b/coltsattempt/quarantine.go
@@ -184,9 +184,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for f, r := range s.suspects {
-		if r.suspect.dropCrashes(drop) {
-			s.suspects[f] = r
+		if !r.suspect.dropCrashes(drop) {
+			continue
+		}
+		if len(r.suspect.Crashes) == 0 {
+			r.suspect.TrialUntil, r.suspect.FailedTrials = time.Time{}, 0
 		}
+		s.suspects[f] = r
 	}
 }
 
@@ -214,13 +218,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r, known := s.suspects[f]
-	if !known || !r.succeed(now, now) {
-		return r.suspect, false
+	if !known {
+		return Suspect{}, false
+	}
+	cleared := r.succeed(now, now)
+	if cleared {
+		r.trialAt = time.Time{}
+		r.revision = q.revision.Add(1)
 	}
-	r.trialAt = time.Time{}
-	r.revision = q.revision.Add(1)
 	s.suspects[f] = r
-	return r.suspect, true
+	return r.suspect, cleared
 }
 
 // Find returns what is known of a request.
--- a/coltsattempt/quarantine_evidence_test.go
+++ b/coltsattempt/quarantine_evidence_test.go
@@ -104,6 +104,17 @@
 		c.crashEach(2)
 		c.assertBlocked(t, false)
 	})
+	t.Run("nor does one before a success of a request that was cleared already", func(t *testing.T) {
+		c := newCluster()
+		c.crashEach(2)
+		c.gateways[1].Clear(fingerprint, c.now)
+		late := Crash{Upstream: "late", SentAt: c.now.Add(time.Second), At: c.now.Add(time.Second)}
+		c.now = c.now.Add(2 * time.Second)
+		_, cleared := c.gateways[1].Clear(fingerprint, c.now)
+		assert.Assert(t, !cleared)
+		c.gateways[1].Record(fingerprint, late, c.now)
+		assert.Assert(t, !c.gateways[1].Suspected(fingerprint, c.now))
+	})
 	t.Run("upstreams that crash together count once", func(t *testing.T) {
 		c := newCluster()
 		for i := range 5 {
