Close no connection while none waits to be accepted

Cause: without a descriptor, accept fails even if no connection waits. A server that reads no bodies never said that a request had arrived, so the connection whose request was being answered counted as one that waits, also when another one came at its bound.

The gateway's own listener for callers frees descriptors for its upstreams as well, and is left as it is.

--- a/coltsaccept/accept.go
+++ b/coltsaccept/accept.go
@@ -58,12 +58,15 @@
 	return coltslink.IsOutOfDescriptors(err) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
 }
 
-// Accept returns the next connection, a *Conn. If no descriptor or memory is left it closes the connection
-// that has waited longest and tries again.
+// Accept returns the next connection, a *Conn. If no descriptor or memory is left for a connection it closes the
+// one that has waited longest and tries again.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		nc, err := l.Listener.Accept()
 		if isScarce(err) {
+			if awaitConnection(l.Listener) {
+				continue
+			}
 			l.closeLongestWaiting()
 			time.Sleep(retryPause)
 			continue
--- a/coltsfront/front.go
+++ b/coltsfront/front.go
@@ -65,8 +65,12 @@
 	s := &Server{cfg: cfg, listener: coltsaccept.New(coltsaccept.Config{
 		Listener: cfg.Listener, MaxConns: cfg.MaxConns, OnClosed: cfg.OnClosed,
 	})}
+	handler := cfg.Handler
+	if cfg.Intake == nil {
+		handler = s.serveBodiless
+	}
 	s.server = &fasthttp.Server{
-		Handler:            cfg.Handler,
+		Handler:            handler,
 		ConnState:          s.recordState,
 		Concurrency:        cfg.MaxConns + closingConns,
 		ReadBufferSize:     cfg.HeaderBytes,
@@ -97,6 +101,14 @@
 // Printf discards the line.
 func (discardLogger) Printf(string, ...any) {}
 
+// serveBodiless serves a request of a server that reads no bodies. Its connection is not closed for another one from now
+// on, and is closed already if there is no one to answer.
+func (s *Server) serveBodiless(ctx *fasthttp.RequestCtx) {
+	if s.listener.SetServing(ctx.Conn()) {
+		s.cfg.Handler(ctx)
+	}
+}
+
 func (s *Server) recordState(nc net.Conn, state fasthttp.ConnState) {
 	switch state {
 	case fasthttp.StateIdle:
--- a/coltsfront/front_test.go
+++ b/coltsfront/front_test.go
@@ -196,6 +196,31 @@
 	})
 }
 
+// The failure guarded against: a server that reads no bodies closed a connection for another one while its request was
+// being answered.
+func TestBodilessConnections(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	hold := make(chan struct{})
+	s := NewServer(Config{Listener: ln, Handler: func(ctx *fasthttp.RequestCtx) {
+		hold <- struct{}{}
+		<-hold
+		ctx.SetBodyString("held")
+	}})
+	go func() { _ = s.Serve() }()
+	held := dial(t, ln.Addr().String(), request("/hold", ""))
+	<-hold
+	for range 2 * bodilessMaxConns {
+		dial(t, ln.Addr().String(), "")
+	}
+	for deadline := time.Now().Add(testTimeout); s.OpenConns() < bodilessMaxConns; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline))
+	}
+	hold <- struct{}{}
+	held.assertResponse(200, "held")
+}
+
 // BenchmarkReport measures a short request on a kept connection, as the reports of upstreams are. plain is
 // a server that reads bodies whole, as before.
 func BenchmarkReport(b *testing.B) {
