Count the crash of a retry whatever the delays of its reports

Reports carry ages, so times are shifted by the report's delay. When the first crash was reported more slowly than the second, the retry seemed to have begun before it, counted as a bystander, and the other entry let the request run once more.

Change: the instance that has sent the request again says so in the crash, by its own clock, and runs that seem to begin up to 50 ms before the other crash count, for retries through another instance.

Evidence: TestDelayedReport fails without the first part and passes with it.

--- a/coltsattempt/quarantine.go
+++ b/coltsattempt/quarantine.go
@@ -97,6 +97,9 @@
 	r.suspect.Fingerprint = f
 	// An upstream ID may stand for several processes in succession, of which the newest counts.
 	r.suspect.dropCrashes(func(k Crash) bool { return k.Upstream == c.Upstream && c.At.Sub(k.At) >= sameCause })
+	if n := len(r.suspect.Crashes); n > 0 {
+		c.Repeated = !c.SentAt.Before(r.suspect.Crashes[n-1].At)
+	}
 	if explained || !r.suspect.addCrash(c) {
 		return r.suspect
 	}
--- a/coltsattempt/quarantine_evidence_test.go
+++ b/coltsattempt/quarantine_evidence_test.go
@@ -151,6 +151,19 @@
 	})
 }
 
+// The failure guarded against: the first of two crashes was reported with a delay, so that the retry that crashed the second
+// upstream seemed to have been sent before it, and the request crashed a third one at another entry.
+func TestDelayedReport(t *testing.T) {
+	q, other := NewQuarantine(QuarantineConfig{}), NewQuarantine(QuarantineConfig{})
+	delayed := q.Record(fingerprint, Crash{Upstream: "a", SentAt: start, At: start.Add(10 * time.Millisecond)}, start)
+	both := q.Record(fingerprint, Crash{Upstream: "b", SentAt: start.Add(11 * time.Millisecond), At: start.Add(200 * time.Millisecond)}, start)
+	assertBlocked(t, q, start.Add(time.Second), true)
+	delayed.Crashes[0].SentAt, delayed.Crashes[0].At = start.Add(150*time.Millisecond), start.Add(160*time.Millisecond)
+	other.Merge(delayed, start)
+	other.Merge(both, start)
+	assertBlocked(t, other, start.Add(time.Second), true)
+}
+
 // The failure guarded against: a quarantined request did not run any more, so nothing could show that it is sound.
 func TestTrial(t *testing.T) {
 	quarantined := func() *cluster {
--- a/coltsattempt/suspect.go
+++ b/coltsattempt/suspect.go
@@ -15,6 +15,9 @@
 	// sameCause is the time within which crashes of several upstreams count as one, unless the request was
 	// sent again in between: a loss of power takes many upstreams at once.
 	sameCause = 100 * time.Millisecond
+	// reportSlack is how much earlier than the crash before a run may seem to have begun and still count: the
+	// reports of two instances are not delayed by the same time.
+	reportSlack = 50 * time.Millisecond
 	// maxSuspectCrashes is the greatest number of crashes that are kept of one request.
 	maxSuspectCrashes = 32
 )
@@ -26,6 +29,9 @@
 	// that don't report these times leave them zero.
 	SentAt time.Time
 	At     time.Time
+	// Repeated is set if the request was sent after the crash before, by the clock of the instance that recorded
+	// both. Times in reports are shifted by the reports' delays.
+	Repeated bool
 }
 
 // Suspect is a request that was running on one or more upstreams when they crashed.
@@ -105,7 +111,7 @@
 	n := 0
 	var last time.Time
 	for _, c := range s.Crashes {
-		if n == 0 || !c.SentAt.Before(last) || c.At.Sub(last) >= sameCause {
+		if n == 0 || c.Repeated || !c.SentAt.Before(last.Add(-reportSlack)) || c.At.Sub(last) >= sameCause {
 			n++
 			last = c.At
 		}
--- a/coltswire/wire_suspect.go
+++ b/coltswire/wire_suspect.go
@@ -20,6 +20,7 @@
 		Crashes: convert(s.Crashes, func(c coltsattempt.Crash) *coltspb.SuspectCrash {
 			return &coltspb.SuspectCrash{
 				Upstream: string(c.Upstream), SentAgeNanos: encodeAge(c.SentAt, now), AgeNanos: encodeAge(c.At, now),
+				RepeatedCrash: c.Repeated,
 			}
 		}),
 		SucceededAgeNanos: encodeAge(s.SucceededAt, now),
@@ -38,6 +39,7 @@
 			return coltsattempt.Crash{
 				Upstream: coltsidentity.Upstream(c.GetUpstream()),
 				SentAt:   decodeAge(c.GetSentAgeNanos(), now), At: decodeAge(c.GetAgeNanos(), now),
+				Repeated: c.GetRepeatedCrash(),
 			}
 		}),
 		SucceededAt:  decodeAge(m.GetSucceededAgeNanos(), now),
